--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,166 @@
+// Package settings translates the operators' settings object, which the
+// simulator's first message and the sidecar's configuration share, for the
+// decision module. It decides nothing itself.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"heathstack/policy"
+)
+
+// Settings is what a host needs of the settings object.
+type Settings struct {
+	Config policy.Config
+	Fields []string // names of the values in a load report, in their order
+}
+
+// object mirrors the keys that the module uses; others are skipped.
+type object struct {
+	GroupSize, Ordinal int
+	Zone               string
+	MembershipMode     string
+	OverShareWorth     float64
+	TickUs             int64
+	Limits             struct {
+		Cancelling, MayDuplicate, Probes, RetryAfter bool
+		ConnIdleUs, DialTimeoutUs, MaxRetryAfterUs   int64
+		SendCap                                      int
+	}
+	RequestClasses []struct {
+		Name, Effect, Group         string
+		AimUs, DeadlineUs, KeyTtlUs int64
+		Worth, LateShare            float64
+	}
+	Safety struct {
+		AskEveryUs, GraceToAnswerUs, RampTimeUs int64
+		ColdFrom                                float64
+	}
+	FamilyInfo struct{ WarmKeys bool }
+	Tariffs    struct {
+		Connection, CrossZone, Handshake, Probe float64
+	}
+	Telemetry struct {
+		Fields []string
+		Via    string
+	}
+	Tenants []struct {
+		Name          string
+		AllowancePerS float64
+	}
+}
+
+var effects = map[string]policy.Effect{
+	"read_like": policy.Safe, "idempotency_key": policy.Keyed, "non_idempotent": policy.Unsafe,
+}
+
+var groups = map[string]policy.Group{
+	"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
+}
+
+// Parse reads the settings object. An error names the key at fault.
+func Parse(text []byte) (Settings, error) {
+	var s object
+	if err := json.Unmarshal(text, &s); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.validate(); err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	cfg := policy.Config{
+		WarmKeys: s.FamilyInfo.WarmKeys,
+		Ordinal:  s.Ordinal, GroupSize: s.GroupSize, Zone: s.Zone, OverShareWorth: s.OverShareWorth,
+		Pushed: s.MembershipMode == "pushed", MayProbe: s.Limits.Probes, MayCancel: s.Limits.Cancelling,
+		MayDuplicate: s.Limits.MayDuplicate, HintsRetry: s.Limits.RetryAfter, MaxAttempts: s.Limits.SendCap,
+		MaxRetryAfter: Micros(s.Limits.MaxRetryAfterUs), DialTimeout: Micros(s.Limits.DialTimeoutUs),
+		ConnIdle: Micros(s.Limits.ConnIdleUs), Tick: Micros(s.TickUs), InlineReports: s.Telemetry.Via == "inline",
+		AskEvery: Micros(s.Safety.AskEveryUs), AnswerGrace: Micros(s.Safety.GraceToAnswerUs),
+		ColdFrom: s.Safety.ColdFrom, Ramp: Micros(s.Safety.RampTimeUs),
+		ProbeTariff: s.Tariffs.Probe, ConnectionTariff: s.Tariffs.Connection,
+		HandshakeTariff: s.Tariffs.Handshake, CrossZoneTariff: s.Tariffs.CrossZone,
+	}
+	for _, c := range s.RequestClasses {
+		cfg.Classes = append(cfg.Classes, policy.Class{
+			Name: c.Name, Effect: effects[c.Effect], Group: groups[c.Group], KeyTTL: Micros(c.KeyTtlUs),
+			Aim: Micros(c.AimUs), Deadline: Micros(c.DeadlineUs), Worth: c.Worth, LateShare: c.LateShare,
+		})
+	}
+	for _, t := range s.Tenants {
+		cfg.Tenants = append(cfg.Tenants, policy.Tenant{Name: t.Name, AllowancePer: t.AllowancePerS})
+	}
+	return Settings{Config: cfg, Fields: s.Telemetry.Fields}, nil
+}
+
+// validate guards against what the module would reject or misread, by the names that the operators use.
+func (s *object) validate() error {
+	for _, c := range s.RequestClasses {
+		_, effect := effects[c.Effect]
+		_, group := groups[c.Group]
+		switch {
+		case !effect:
+			return fmt.Errorf("RequestClasses %q: Effect is %q", c.Name, c.Effect)
+		case !group:
+			return fmt.Errorf("RequestClasses %q: Group is %q", c.Name, c.Group)
+		case c.AimUs <= 0:
+			return fmt.Errorf("RequestClasses %q: AimUs is %d, not above 0", c.Name, c.AimUs)
+		case c.DeadlineUs < c.AimUs:
+			return fmt.Errorf("RequestClasses %q: DeadlineUs is %d, below AimUs", c.Name, c.DeadlineUs)
+		case c.KeyTtlUs < 0:
+			return fmt.Errorf("RequestClasses %q: KeyTtlUs is %d, below 0", c.Name, c.KeyTtlUs)
+		case c.Worth < 0:
+			return fmt.Errorf("RequestClasses %q: Worth is %v, below 0", c.Name, c.Worth)
+		}
+	}
+	switch {
+	case s.GroupSize < 1:
+		return fmt.Errorf("GroupSize is %d, below 1", s.GroupSize)
+	case s.Ordinal < 0 || s.Ordinal >= s.GroupSize:
+		return fmt.Errorf("Ordinal is %d, outside a group of %d", s.Ordinal, s.GroupSize)
+	case s.Limits.SendCap < 1:
+		return fmt.Errorf("Limits.SendCap is %d, below 1", s.Limits.SendCap)
+	case !(s.Safety.ColdFrom >= 0 && s.Safety.ColdFrom <= 1):
+		return fmt.Errorf("Safety.ColdFrom is %v, outside 0 to 1", s.Safety.ColdFrom)
+	}
+	for _, d := range []struct {
+		key   string
+		value int64
+	}{
+		{"TickUs", s.TickUs},
+		{"Limits.ConnIdleUs", s.Limits.ConnIdleUs},
+		{"Limits.DialTimeoutUs", s.Limits.DialTimeoutUs},
+		{"Limits.MaxRetryAfterUs", s.Limits.MaxRetryAfterUs},
+		{"Safety.AskEveryUs", s.Safety.AskEveryUs},
+		{"Safety.GraceToAnswerUs", s.Safety.GraceToAnswerUs},
+		{"Safety.RampTimeUs", s.Safety.RampTimeUs},
+	} {
+		if d.value < 0 {
+			return fmt.Errorf("%s is %d, below 0", d.key, d.value)
+		}
+	}
+	return nil
+}
+
+// NoLoad returns a report in which nothing is reported.
+func NoLoad() policy.Load {
+	return policy.Load{Queue: -1, Inflight: -1, Latency: -1, ErrorRate: -1}
+}
+
+// Set notes the value that a report gives under a field's name. Fields that the module has no use for are
+// skipped.
+func Set(l *policy.Load, field string, value float64) {
+	switch field {
+	case "queue":
+		l.Queue = value
+	case "inflight":
+		l.Inflight = value
+	case "latency_ms":
+		l.Latency = value
+	case "eps":
+		l.ErrorRate = value
+	}
+}
+
+// Micros is a time given in microseconds.
+func Micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+
+	"heathstack/internal/settings"
+)
+
+// Config is what one sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // address of discovery
+	Seed      uint64
+	MemoryMB  int // the sidecar is killed over it
+	Sockets   int // descriptors that the process may hold
+	Known     *list
+	Settings  settings.Settings
+}
+
+// The limits taken where the configuration gives none, and the least that a sidecar can work with.
+const (
+	usualMemoryMB = 128
+	usualSockets  = 1024
+	leastMemoryMB = 64
+	leastSockets  = 64
+)
+
+// LoadConfig reads the file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY have precedence over
+// it. An error names the variable or the key at fault.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	var file struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG %s: %w", path, err)
+	}
+	c := Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		MemoryMB: usualMemoryMB, Sockets: usualSockets,
+	}
+	for name, value := range map[string]*string{
+		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*value = v
+		}
+	}
+	if file.Limits.MemoryMB != 0 {
+		c.MemoryMB = int(min(file.Limits.MemoryMB, math.MaxInt32))
+	}
+	if file.Limits.Sockets != 0 {
+		c.Sockets = file.Limits.Sockets
+	}
+	switch {
+	case c.Listen == "":
+		return Config{}, errors.New("listen is not set")
+	case c.Discovery == "":
+		return Config{}, errors.New("discovery is not set")
+	case c.MemoryMB < leastMemoryMB:
+		return Config{}, fmt.Errorf("limits.memory_mb is %d, below %d", c.MemoryMB, leastMemoryMB)
+	case c.Sockets < leastSockets:
+		return Config{}, fmt.Errorf("limits.sockets is %d, below %d", c.Sockets, leastSockets)
+	case len(file.Settings) == 0:
+		return Config{}, errors.New("settings is not set")
+	}
+	if file.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return Config{}, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if c.Known, err = parseList(file.Known); err != nil {
+			return Config{}, fmt.Errorf("known: %w", err)
+		}
+	}
+	if c.Settings, err = settings.Parse(file.Settings); err != nil {
+		return Config{}, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/sidecar/probe.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"heathstack/internal/settings"
+	"heathstack/policy"
+)
+
+const (
+	// probeTimeout is how long a probe may take: an upstream may vanish without a word.
+	probeTimeout = 400 * time.Millisecond
+	// mostProbes bounds the probes under way; one beyond it counts as never sent.
+	mostProbes = 64
+	// mostReport bounds the body of a probe's answer.
+	mostReport = 4 << 10
+	// mostLoad is the highest figure of a report that is taken for real.
+	mostLoad = 1e9
+)
+
+// Probe is a method of policy.Actions.
+func (h *host) Probe(server policy.ServerID) {
+	sent := h.now()
+	addr, listed := h.dials[server]
+	if !listed || h.probing >= mostProbes {
+		h.after = append(h.after, func(now policy.Time) {
+			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, h)
+		})
+		return
+	}
+	h.probing++
+	go func() {
+		status, load := h.probe(addr)
+		h.event(func(now policy.Time) {
+			h.probing--
+			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, h)
+		})
+	}()
+}
+
+// probe asks the upstream at addr for its load.
+func (h *host) probe(addr string) (policy.Status, *policy.Load) {
+	c, err := h.up.connect(context.Background(), addr, time.Now().Add(probeTimeout))
+	if err != nil {
+		return policy.ConnectFailed, nil
+	}
+	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: addr})
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(resp.Body, mostReport))
+	}
+	var notWritten errNotWritten
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.Close()
+		return policy.Timeout, nil
+	case errors.As(err, &notWritten):
+		c.Close()
+		return policy.ConnectFailed, nil
+	default:
+		c.Close()
+		return policy.Reset, nil
+	}
+	if resp.Close || len(body) == mostReport {
+		c.Close()
+	} else {
+		h.up.keep(c)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return policy.OK, parseLoad(string(body), h.settings.Fields)
+	case http.StatusServiceUnavailable:
+		return policy.Full, nil
+	}
+	return policy.AppError, nil
+}
+
+// parseLoad reads a report such as "TEXT queue=2, util=0.61" by the names of its fields. It returns nil if
+// there is nothing in it that can be read.
+func parseLoad(text string, fields []string) *policy.Load {
+	text = strings.TrimSpace(text)
+	if format, rest, ok := strings.Cut(text, " "); ok && !strings.ContainsAny(format, "=,") {
+		text = rest
+	}
+	load, found := settings.NoLoad(), false
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(part, "=")
+		if name = strings.TrimSpace(name); !ok || !slices.Contains(fields, name) {
+			continue
+		}
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if err != nil || !(v >= 0 && v <= mostLoad) { // guards against NaN too
+			continue
+		}
+		settings.Set(&load, name, v)
+		found = true
+	}
+	if !found {
+		return nil
+	}
+	return &load
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,138 @@
+package wire
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"heathstack/policy"
+)
+
+const settingsText = `{"GroupSize":1,"Ordinal":0,"Zone":"a","MembershipMode":"on_request","TickUs":5000,"Novel":[1],
+"Limits":{"Cancelling":true,"MayDuplicate":true,"Probes":false,"SendCap":3,"DialTimeoutUs":120000},
+"RequestClasses":[{"Name":"q","Effect":"read_like","Group":"all","AimUs":250000,"DeadlineUs":500000,"Worth":2}],
+"Safety":{"AskEveryUs":10000000,"GraceToAnswerUs":20000,"RampTimeUs":7800000,"ColdFrom":0.32},
+"Telemetry":{"Fields":["queue","latency_ms"],"Via":"on_probe"}}`
+
+var openLine = oneLine(`{"AtTimeUs":10,"groups":[{"Sidecar":"sidecar/0","msgs":[
+{"cmd":"OpenInstance","Salt":7,"Settings":` + settingsText + `},
+{"cmd":"Pool","Page":0,"Lines":[{"Lifecycle":"on","Az":"a","Upstream":"10.0.0.1:80","CapacityHint":1,"Novel":3}]},
+{"cmd":"BackendsChanged","How":"stale_copy","Version":1,"Page":0}]}]}`)
+
+func oneLine(s string) string { return strings.ReplaceAll(s, "\n", "") }
+
+func to0(msg string) string {
+	return `{"AtTimeUs":20,"groups":[{"Sidecar":"sidecar/0","msgs":[` + msg + `]}]}`
+}
+
+func serve(lines ...string) (string, error) {
+	var out strings.Builder
+	err := Serve(strings.NewReader(strings.Join(lines, "\n")+"\n"), &out)
+	return out.String(), err
+}
+
+func TestServe(t *testing.T) {
+	demand := to0(`{"cmd":"Demand","Corr":4503599627370495,"Item":"91f03b7c55d20a64","ExpiresUs":400020,"Type":"q"}`)
+	got, err := serve(`{"AtTimeUs":1,"groups":[]}`, openLine, demand)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replies := strings.Split(strings.TrimSpace(got), "\n")
+	if len(replies) != 3 || replies[0] != `{"groups":[]}` {
+		t.Fatalf("replies = %q", replies)
+	}
+	want := `{"cmd":"Route","Corr":4503599627370495,"Upstream":"10.0.0.1:80","MaxWaitUs":245000}`
+	if !strings.Contains(replies[2], want) {
+		t.Errorf("reply %s lacks %s", replies[2], want)
+	}
+	if !strings.Contains(replies[1], `"cmd":"SetTimer"`) {
+		t.Errorf("reply %s sets no timer to subscribe", replies[1])
+	}
+}
+
+func TestServeBadInput(t *testing.T) {
+	tests := []struct{ name, line, want string }{
+		{"malformed JSON", `{"AtTimeUs":`, "batch"},
+		{"no clock", `{"groups":[]}`, "AtTimeUs"},
+		{"unknown message", to0(`{"cmd":"Hurray"}`), `"Hurray"`},
+		{"closed instance", `{"AtTimeUs":2,"groups":[{"Sidecar":"sidecar/9","msgs":[{"cmd":"Halt"}]}]}`, "sidecar/9"},
+		{"unknown outcome", to0(`{"cmd":"ReportBack","Corr":1,"Disposition":"lucky"}`), `"lucky"`},
+		{"unknown list kind", to0(`{"cmd":"BackendsChanged","How":"hearsay"}`), `"hearsay"`},
+		{"list out of range", to0(`{"cmd":"Pool","Page":16}`), `"Pool"`},
+		{"unknown state", to0(`{"cmd":"Pool","Lines":[{"Lifecycle":"odd"}]}`), `"odd"`},
+		{"config out of range", to0(`{"cmd":"OpenInstance","Settings":{"GroupSize":0}}`), "OpenInstance"},
+		{"unknown effect", to0(`{"cmd":"OpenInstance","Settings":{"RequestClasses":[{"Effect":"odd"}]}}`), `"odd"`},
+	}
+	for _, tt := range tests {
+		if _, err := serve(openLine, tt.line); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: error %v, want one that names %s", tt.name, err, tt.want)
+		}
+	}
+}
+
+func TestUnknownRequestsAndFieldsAreSkipped(t *testing.T) {
+	for _, msg := range []string{
+		`{"cmd":"ReportBack","Corr":99,"Shot":0,"Disposition":"delivered","Upstream":"10.9.9.9:1","Novel":true}`,
+		`{"cmd":"Withdrawn","Corr":99}`, `{"cmd":"Opened","Corr":99}`, `{"cmd":"DeadlineHit","Ctx":"???"}`,
+		`{"cmd":"HealthResult","Upstream":"10.9.9.9:1","Disposition":"delivered","Metrics":[1]}`,
+		`{"cmd":"Memo","Neighbour":3,"Msg":"AAAA"}`, `{"cmd":"BackendsChanged","How":"broken"}`,
+	} {
+		if got, err := serve(openLine, to0(msg)); err != nil || strings.Contains(got, "Fault") {
+			t.Errorf("%s: %v, %s", msg, err, got)
+		}
+	}
+}
+
+func TestPanicBecomesFault(t *testing.T) {
+	h := &host{instances: map[string]*instance{"sidecar/0": {}}} // no balancer: any event panics
+	got, err := h.dispatch(0, "sidecar/0", &event{Cmd: "Demand"})
+	if err != nil || len(got) != 1 || got[0].Cmd != "Fault" || !strings.Contains(got[0].Text, "Demand") {
+		t.Errorf("got %+v, %v; want a Fault that names the event", got, err)
+	}
+}
+
+func TestOrdersRoundTrip(t *testing.T) {
+	i := &instance{}
+	i.Send(5, "10.0.0.1:80", 80*time.Millisecond)
+	i.Refuse(5, time.Second)
+	i.Fail(6)
+	i.Cancel(5, 0)
+	i.SetTimer(0, "x")
+	i.Probe("10.0.0.1:80")
+	i.HangUp("10.0.0.1:80")
+	i.Watch(false)
+	i.Log("hello")
+	text, err := json.Marshal(i.orders)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `[{"cmd":"Route","Corr":5,"Upstream":"10.0.0.1:80","MaxWaitUs":80000},` +
+		`{"cmd":"OverloadReply","Corr":5,"StayAwayUs":1000000},{"cmd":"Lose","Corr":6},` +
+		`{"cmd":"DropAttempt","Corr":5,"Shot":0},{"cmd":"SetTimer","AfterUs":0,"Ctx":"x"},` +
+		`{"cmd":"Ping","Upstream":"10.0.0.1:80"},{"cmd":"HangUp","Upstream":"10.0.0.1:80"},` +
+		`{"cmd":"KeepInformed","Active":false},{"cmd":"JournalLine","Text":"hello"}]`
+	if string(text) != want {
+		t.Errorf("orders = %s\nwant     %s", text, want)
+	}
+}
+
+func TestLoadReport(t *testing.T) {
+	tests := []struct {
+		fields []string
+		row    []float64
+		want   *policy.Load
+	}{
+		{[]string{"queue", "latency_ms"}, nil, nil},
+		{[]string{"queue", "latency_ms"}, []float64{3, 40}, &policy.Load{Queue: 3, Inflight: -1, Latency: 40, ErrorRate: -1}},
+		{[]string{"eps", "queue"}, []float64{2}, &policy.Load{Queue: -1, Inflight: -1, Latency: -1, ErrorRate: 2}},
+		{[]string{"inflight", "util"}, []float64{4, 0.5}, &policy.Load{Queue: -1, Inflight: 4, Latency: -1, ErrorRate: -1}},
+	}
+	for _, tt := range tests {
+		i := &instance{fields: tt.fields}
+		if got := i.load(tt.row); !reflect.DeepEqual(got, tt.want) {
+			t.Errorf("load(%v) of %v = %+v, want %+v", tt.row, tt.fields, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,586 @@
+// The interface (Config, events, Actions) is in policy/api.go, the records kept are in policy/state.go.
+
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// probeSample is d of JBT-d: two choices already tilt the pick (section 3.2).
+	probeSample = 2
+	// maxReadySet keeps each member's figures fresh: more members than this see too few of a sidecar's
+	// own requests and probes.
+	maxReadySet = 5
+	// probeSpend is what probing may cost in points of the result; with the tariff it gives the period T.
+	probeSpend = 0.05
+	// refusedShare of it is spent on a request that ends up refused: it comes back up to three times.
+	refusedShare = 0.4
+	// connSpend is what held connections may cost in points; with the tariff it sizes the ready set.
+	connSpend = 0.02
+	// minReadySet keeps a choice and two spares when one member fails.
+	minReadySet = 3
+	// patienceShare of the time left may pass until a good reply: the request then stands in that queue too.
+	patienceShare = 6
+	// lateBand is the part of the time left over which refusals set in, up to certain: wide enough that
+	// queues settle inside it, below the aim, although each refused client comes back up to three times.
+	lateBand = 0.4
+	// firstEject is the first ejection; each further failure in a row doubles it, up to the ramp time.
+	firstEject = 500 * time.Millisecond
+	// smooth is the weight of a new sample in moving averages: about the last ten count.
+	smooth = 0.1
+)
+
+// Balancer decides for one sidecar. It is not safe for concurrent use.
+type Balancer struct {
+	cfg      Config
+	rng      *rand.Rand
+	classes  map[string]*class
+	servers  map[ServerID]*server
+	ready    []*server // ready servers in this sidecar's order of preference
+	zonal    bool      // the ready set is of the own zone
+	setSize  int       // how many of them make up the ready set
+	requests map[RequestID]*request
+
+	threshold float64       // shortest queue reported so far in the last probe round
+	newRound  bool          // no reply of that round has come
+	held      []*request    // in order of arrival: requests waiting for a mark
+	markLife  time.Duration // marks older than this have gone stale
+	busy      float64       // share of probes that found a request waiting
+	credit    float64       // probes that the traffic so far has paid for
+
+	delay delayModel // of answers by the reported queue
+
+	topWorth   float64 // highest worth of a class for each second of its aim
+	sweeping   bool    // a timer for sweep is out
+	watching   bool
+	watchFails int
+}
+
+// New returns a Balancer for cfg; seed feeds its private random numbers.
+func New(cfg Config, seed uint64) (*Balancer, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		threshold: math.Inf(1), credit: probeSample, busy: 1,
+	}
+	for _, c := range cfg.Classes {
+		b.classes[c.Name] = &class{Class: c}
+		b.topWorth = max(b.topWorth, c.Worth/c.Aim.Seconds())
+		if b.markLife == 0 || c.Aim < b.markLife {
+			b.markLife = c.Aim
+		}
+	}
+	return b, nil
+}
+
+// Members takes a message about the server list.
+func (b *Balancer) Members(now Time, kind ListKind, entries []Server, act Actions) {
+	if kind == ListFailed {
+		// A failed call is retried after a growing, jittered pause: a thousand sidecars
+		// that ask again at once would swamp the list service for good.
+		b.watching = false
+		b.watchFails++
+		pause := b.cfg.AskEvery / 8 << min(b.watchFails, 3)
+		act.SetTimer(pause/2+b.jitter(pause), "watch")
+		return
+	}
+	if kind != ListDelta {
+		for _, s := range b.servers {
+			s.State = Gone
+		}
+	}
+	for _, e := range entries {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{slowness: 1}
+			b.servers[e.ID] = s
+		}
+		if e.Started != s.Started {
+			*s = server{slowness: 1} // a restarted process owes nothing to its past
+		}
+		s.Server = e
+	}
+	b.rebuild()
+	if kind == ListCached && !b.cfg.Pushed && !b.watching {
+		act.SetTimer(b.jitter(b.cfg.AskEvery*6/10), "watch") // spread over most of the time that rules give
+	} else if b.watching {
+		b.watchFails = 0
+	}
+	for _, id := range sortedKeys(b.requests) { // requests held for want of a server
+		if r := b.requests[id]; !r.ended && len(r.attempts) == 0 && r.patience == 0 {
+			b.send(now, r, b.set(now), act)
+		}
+	}
+}
+
+// rebuild orders the ready servers. A ready set starts at a place given by the sidecar's number and
+// goes on in steps that differ between neighbours: every server gets equally many sidecars, and the
+// load of one that fails spreads over many. The spares after it follow by rendezvous hashing.
+func (b *Balancer) rebuild() {
+	pool := b.ready[:0]
+	for _, id := range sortedKeys(b.servers) {
+		s := b.servers[id]
+		s.marked = s.marked && s.State == Ready
+		if s.State == Ready {
+			pool = append(pool, s)
+		}
+	}
+	byHash(pool, 0)
+	// Where leaving the zone costs more than the probes to find a server there, the set is of the own zone.
+	abroad := func(s *server) bool { return s.Zone != b.cfg.Zone }
+	near := slices.DeleteFunc(slices.Clone(pool), abroad)
+	b.zonal = len(near) >= minReadySet && b.cfg.CrossZoneTariff > probeSample*b.cfg.ProbeTariff
+	if !b.zonal {
+		near = slices.Clone(pool)
+	}
+	n := len(near)
+	b.setSize = min(n, maxReadySet)
+	if b.cfg.ConnectionTariff > 0 {
+		perSidecar := 100 * connSpend / b.cfg.ConnectionTariff * float64(len(pool)) / float64(b.cfg.GroupSize)
+		b.setSize = min(b.setSize, max(minReadySet, int(perSidecar)))
+	}
+	ordered := make([]*server, 0, len(pool))
+	step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, b.setSize-1))
+	for j := range b.setSize {
+		ordered = append(ordered, near[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
+	}
+	byHash(pool, uint64(b.cfg.Ordinal)<<32)
+	for _, s := range pool {
+		if !slices.Contains(ordered[:b.setSize], s) {
+			ordered = append(ordered, s)
+		}
+	}
+	b.ready = ordered
+}
+
+// Request takes a client's request.
+func (b *Balancer) Request(now Time, q Request, act Actions) {
+	c := b.classes[q.Class]
+	if c == nil { // unknown: assume the worst of a repeat and the best of a late answer
+		left := q.Expires - now
+		c = &class{Class: Class{Name: q.Class, Effect: Unsafe, Aim: left, Deadline: left}}
+	}
+	r := &request{Request: q, class: c}
+	b.requests[q.ID] = r
+	r.began = c.began(now, q, b.cfg.Tick)
+	r.useful = r.began + c.Aim
+	r.end = q.Expires
+	if c.LateShare == 0 {
+		r.end = min(r.end, r.useful-b.cfg.Tick)
+	}
+	// Under overload what is worth less for its time gives way first, by standing less of a queue.
+	bare := b.delay.at(0)
+	scale := math.Sqrt(c.Worth/c.Aim.Seconds()/max(b.topWorth, 1e-9)) * (1 - lateBand*b.rng.Float64())
+	r.limit = time.Duration(bare + (float64(r.useful-now)-bare)*scale)
+	if r.end <= now+b.cfg.Tick { // nobody gains from the work
+		b.finish(now, r, false, act)
+		return
+	}
+	act.SetTimer(r.end-now, token(q.ID))
+	b.earn(refusedShare)
+	set := b.set(now)
+	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
+		// Work that nobody awaits any more keeps queues long for all.
+		if s := b.pick(now, r, set); s != nil && b.expected(s) > r.limit {
+			b.finish(now, r, true, act)
+		} else {
+			b.send(now, r, set, act)
+		}
+		return
+	}
+	r.probed = b.renew(r, set, act)
+	good := func(s *server) bool { return b.hasMark(now, s) && b.expected(s) <= r.limit && !b.cfg.WarmKeys }
+	if slices.ContainsFunc(set, good) {
+		b.send(now, r, set, act)
+		return
+	}
+	// Only stale figures: the request waits for the first reply of its round, or else is refused.
+	r.patience = now + (r.end-now)/patienceShare
+	b.held = append(b.held, r)
+	act.SetTimer(r.patience-now, token(q.ID))
+}
+
+// earn credits the probes that a share of a request pays for: all of them after a failure or while they
+// find requests waiting, and down to a tenth while they find none, when any server will do.
+func (b *Balancer) earn(share float64) {
+	b.credit = min(b.credit+share*max(b.busy, 0.1)*probeSpend/max(b.cfg.ProbeTariff, 1e-9), probeSample)
+}
+
+// renew starts a probe round, whose replies set the threshold. The period T is thus counted in
+// requests, so that sidecars that send little neither probe in vain nor keep a clock.
+// Where servers do less work for a key they met lately, the round asks the key's homes instead: the d
+// servers that rendezvous hashing puts first.
+func (b *Balancer) renew(r *request, set []*server, act Actions) []*server {
+	set = slices.Clone(set)
+	b.rng.Shuffle(len(set), func(i, j int) { set[i], set[j] = set[j], set[i] })
+	if b.cfg.WarmKeys && r.Key != "" {
+		byHash(set, hash(ServerID(r.Key), 0))
+	}
+	set = set[:min(probeSample, len(set))]
+	b.credit -= probeSample
+	b.newRound = true
+	for _, s := range set {
+		act.Probe(s.ID)
+	}
+	return set
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now Time, p ProbeResult, act Actions) {
+	s := b.servers[p.Server]
+	if s == nil {
+		return
+	}
+	if p.Status != OK {
+		b.failed(now, s, p.Status)
+		return
+	}
+	s.fails, s.lastOK = 0, now
+	q := queueOf(p.Load)
+	if q < 0 {
+		return
+	}
+	b.busy += smooth * (min(q, 1) - b.busy)
+	if b.newRound || q < b.threshold {
+		b.newRound, b.threshold = false, q
+		for _, t := range b.ready {
+			t.marked = t.marked && t.queue <= b.threshold
+		}
+	}
+	b.report(now, s, p.Load)
+	for i, r := range b.held {
+		if !slices.Contains(r.probed, s) {
+			continue
+		}
+		r.replies++
+		if r.replies == len(r.probed) && b.zonal && b.expected(s) > r.limit && b.credit >= probeSample {
+			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
+			continue
+		}
+		if b.expected(s) <= r.limit {
+			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
+			// mark under the threshold of another request's round would refuse what could be served.
+			b.threshold, s.marked, s.markedAt = s.queue, true, now
+			b.held = slices.Delete(b.held, i, i+1)
+			r.patience = 0
+			b.send(now, r, []*server{s}, act)
+			break
+		}
+	}
+}
+
+// hasMark reports whether s has a mark that is not stale.
+func (b *Balancer) hasMark(now Time, s *server) bool { return s.marked && now-s.markedAt <= b.markLife }
+
+// report notes a load report. The tick of the design is the arrival of a report: the server is
+// marked if the figure is at or below the threshold. Figures are never used twice for marking,
+// which is how marks and thresholds of a sidecar that sends little stay fresh.
+func (b *Balancer) report(now Time, s *server, l *Load) {
+	q := queueOf(l)
+	if q < 0 {
+		return
+	}
+	s.queue, s.reported = q, true
+	s.marked, s.markedAt = s.State == Ready && s.queue <= b.threshold, now
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
+	if s := b.servers[o.Server]; s != nil {
+		if o.Status == OK {
+			s.fails, s.lastOK = 0, now
+		} else {
+			b.failed(now, s, o.Status)
+		}
+		b.report(now, s, o.Load)
+	}
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.out, a.notRun = false, o.Status.NotRun()
+	r.out--
+	r.ended = r.ended || o.Closed
+	if o.Status == OK || o.Status == Timeout {
+		if at := b.delay.at(a.queue); at > 0 {
+			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
+		}
+		b.delay.learn(a.queue, float64(o.Delay)/a.server.slowness)
+	}
+	switch {
+	case r.ended:
+		b.cancelAll(r, act)
+		b.forget(r)
+	case r.out == 0 && !b.send(now, r, b.set(now), act):
+		b.finish(now, r, true, act)
+	}
+}
+
+// failed notes evidence against a server: it is left out of the ready set for a while that grows
+// with failures in a row. Guards against servers that err at once and so keep a short queue.
+func (b *Balancer) failed(now Time, s *server, st Status) {
+	s.marked = false
+	switch st {
+	case Canceled, Moot:
+		return
+	case Timeout, Full:
+		s.queue = math.Inf(1) // until it reports again
+	}
+	s.fails, b.busy = s.fails+1, 1
+	if st == Full || st == Timeout && (s.fails < 3 || now-s.lastOK < time.Second) {
+		return // may be the load: see set
+	}
+	s.ejected = now + min(firstEject<<min(s.fails-1, 10), max(b.cfg.Ramp, firstEject))
+}
+
+// set returns the ready set: the first servers in order of preference that are not ejected. When
+// more than half of all are ejected the evidence is against the network or the load, not
+// against servers, and ejections are ignored.
+func (b *Balancer) set(now Time) []*server {
+	set := make([]*server, 0, b.setSize)
+	bad := 0
+	for _, s := range b.ready {
+		if s.ejected > now {
+			bad++
+		} else if len(set) < b.setSize && b.warmth(now, s) == 1 {
+			set = append(set, s)
+		}
+	}
+	if 2*bad > len(b.ready) || len(set) == 0 {
+		set = append(set[:0], b.ready[:b.setSize]...)
+	}
+	return set
+}
+
+// coldTurn draws a place of the ready set, and returns the server there if it is cold, in proportion to
+// the least capacity it can have. An empty queue would make every probe round choose it; this way it
+// gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
+func (b *Balancer) coldTurn(now Time) *server {
+	s := b.ready[b.rng.IntN(b.setSize)]
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
+		return nil
+	}
+	return s
+}
+
+// send starts a further attempt of r if a legal one exists and reports whether it did, or whether
+// the request may still be held.
+func (b *Balancer) send(now Time, r *request, set []*server, act Actions) bool {
+	s := b.pick(now, r, set)
+	if s == nil {
+		s = b.pick(now, r, b.ready)
+	}
+	if s == nil {
+		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
+	}
+	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
+		s = c
+	}
+	s.marked = false
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: s.queue}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if len(r.attempts) == 1 {
+		b.earn(1 - refusedShare)
+	}
+	s.used, s.open = now, true
+	b.sweep(now, act)
+	act.Send(r.ID, s.ID, r.end-now)
+	return true
+}
+
+// sweep hangs up connections that cost more to hold than to open anew. An open one costs
+// ConnectionTariff/100 of a server's share, a handshake HandshakeTariff of a request's: they balance
+// after 100 x HandshakeTariff/ConnectionTariff requests of a server, whose rate follows by Little's
+// law from the delay and the requests it holds, assumed to be half as many as cores while all are idle.
+func (b *Balancer) sweep(now Time, act Actions) {
+	served := 100 * b.cfg.HandshakeTariff / max(b.cfg.ConnectionTariff, 1e-9)
+	hold := time.Duration(served * b.delay.delay / (assumedCores * (0.5 + b.busy)))
+	left := false
+	for _, s := range b.ready {
+		if s.open && b.cfg.ConnectionTariff > 0 && now-s.used >= hold {
+			s.open = false
+			act.HangUp(s.ID)
+		}
+		left = left || s.open
+	}
+	if left && !b.sweeping && b.cfg.ConnectionTariff > 0 && hold > 0 {
+		b.sweeping = true
+		act.SetTimer(hold, "sweep")
+	}
+}
+
+// pick draws a marked server of set at random, or else a server uniformly: of those that would answer
+// in time, if there are any, since a slow server that takes its even share collects an endless queue.
+func (b *Balancer) pick(now Time, r *request, set []*server) *server {
+	var marked, all, late []*server
+	for _, s := range set {
+		tried := slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
+		if !tried && b.maySend(now, r, s) && b.thin(now, r, s) {
+			if b.late(now, r, s) {
+				late = append(late, s)
+				continue
+			}
+			all = append(all, s)
+			if b.hasMark(now, s) {
+				marked = append(marked, s)
+			}
+		}
+	}
+	if len(r.attempts) > 0 {
+		late = nil // a further attempt that would be late as well only feeds the overload
+	}
+	for _, from := range [][]*server{marked, all, late} {
+		if len(from) > 0 {
+			return from[b.rng.IntN(len(from))]
+		}
+	}
+	return nil
+}
+
+// thin lets a request have a cold server for its first attempt only, and only a share of requests: that
+// of its least capacity. All picks for a request agree, so that asking twice does not double the share.
+func (b *Balancer) thin(now Time, r *request, s *server) bool {
+	w := b.warmth(now, s)
+	return w == 1 || len(r.attempts) == 0 && float64(hash(s.ID, uint64(r.ID))) < w*math.MaxUint64
+}
+
+// late reports whether r would miss its aim at s by the latest figures.
+func (b *Balancer) late(now Time, r *request, s *server) bool { return now+b.expected(s) > r.useful }
+
+// expected is the delay to expect of an answer of s: the common line of delay by reported queue,
+// times how much slower than it s has been.
+func (b *Balancer) expected(s *server) time.Duration {
+	q := s.queue
+	if !s.reported {
+		q = b.delay.queue
+	}
+	return time.Duration(min(b.delay.at(q)*s.slowness, float64(time.Hour)))
+}
+
+// warmth is the least share of its capacity that s has at now.
+func (b *Balancer) warmth(now Time, s *server) float64 {
+	if s.Started == 0 || now-s.Started >= b.cfg.Ramp {
+		return 1
+	}
+	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(max(0, now-s.Started))/float64(b.cfg.Ramp)
+}
+
+// maySend is the one judge of whether the rules allow an attempt of r at s.
+func (b *Balancer) maySend(now Time, r *request, s *server) bool {
+	if r.ended || r.stream || s.State != Ready || now >= r.Expires || len(r.attempts) >= b.cfg.MaxAttempts ||
+		r.out > 0 && !b.cfg.MayDuplicate {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.notRun {
+			continue
+		}
+		c := r.class
+		switch {
+		case c.Effect == Unsafe:
+			return false
+		case c.Effect == Keyed && (now >= a.sent+c.KeyTTL-b.cfg.DialTimeout-b.cfg.Tick ||
+			c.Group == GroupZone && a.zone != s.Zone || c.Group == GroupCell && a.cell != s.Cell):
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse is the one judge of whether a refusal, which promises that a retry is harmless, is true of r.
+func mayRefuse(r *request) bool {
+	return r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
+		!slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.notRun })
+}
+
+// finish gives the final answer: a refusal where it is true and a retry could help, else a failure.
+func (b *Balancer) finish(now Time, r *request, retry bool, act Actions) {
+	b.cancelAll(r, act)
+	r.ended = true
+	if now < r.Expires {
+		r.class.owe(r)
+	}
+	if r.patience > 0 {
+		r.patience = 0
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	}
+	if retry && mayRefuse(r) {
+		act.Refuse(r.ID, 0)
+	} else {
+		act.Fail(r.ID)
+	}
+	b.forget(r)
+}
+
+func (b *Balancer) cancelAll(r *request, act Actions) {
+	for i, a := range r.attempts {
+		if a.out && b.cfg.MayCancel && !a.canceled {
+			r.attempts[i].canceled = true
+			act.Cancel(r.ID, i)
+		}
+	}
+}
+
+// forget drops an ended request once all its attempts are back.
+func (b *Balancer) forget(r *request) {
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// Streaming notes that the answer of r has begun.
+func (b *Balancer) Streaming(now Time, id RequestID, attempt int, act Actions) {
+	if r := b.requests[id]; r != nil {
+		r.stream = true
+	}
+}
+
+// Withdrawn notes that the client has left.
+func (b *Balancer) Withdrawn(now Time, id RequestID, act Actions) {
+	if r := b.requests[id]; r != nil && !r.ended {
+		r.ended = true
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+		b.cancelAll(r, act)
+		b.forget(r)
+	}
+}
+
+// Timer takes a timer that has fallen due.
+func (b *Balancer) Timer(now Time, tok string, act Actions) {
+	if tok == "watch" {
+		if !b.watching {
+			b.watching = true
+			act.Watch(true)
+		}
+		return
+	}
+	if tok == "sweep" {
+		b.sweeping = false
+		b.sweep(now, act)
+		return
+	}
+	id, _ := strconv.ParseUint(tok, 36, 64)
+	r := b.requests[RequestID(id)]
+	switch {
+	case r == nil || r.ended || r.stream:
+	case now >= r.end:
+		b.finish(now, r, false, act)
+	case r.patience > 0 && now >= r.patience:
+		b.finish(now, r, true, act)
+	}
+}
+
+// jitter draws a time below d.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(d))
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,386 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// recorder is an Actions that notes each action as a line of text.
+type recorder struct{ lines []string }
+
+func (r *recorder) note(format string, args ...any) {
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) Send(id RequestID, s ServerID, d time.Duration) { r.note("send %d %s", id, s) }
+func (r *recorder) Refuse(id RequestID, d time.Duration)           { r.note("refuse %d", id) }
+func (r *recorder) Fail(id RequestID)                              { r.note("fail %d", id) }
+func (r *recorder) Cancel(id RequestID, attempt int)               { r.note("cancel %d %d", id, attempt) }
+func (r *recorder) SetTimer(d time.Duration, token string)         { r.note("timer %v %s", d, token) }
+func (r *recorder) Probe(s ServerID)                               { r.note("probe %s", s) }
+func (r *recorder) HangUp(s ServerID)                              { r.note("hangup %s", s) }
+func (r *recorder) Watch(on bool)                                  { r.note("watch %v", on) }
+func (r *recorder) Log(text string)                                { r.note("log %s", text) }
+
+// take returns the lines that start with prefix and clears all.
+func (r *recorder) take(prefix string) []string {
+	got := slices.DeleteFunc(r.lines, func(l string) bool { return !strings.HasPrefix(l, prefix) })
+	r.lines = nil
+	return got
+}
+
+func testConfig() Config {
+	const s = time.Second
+	return Config{
+		GroupSize: 1, Zone: "a", MayProbe: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 3,
+		DialTimeout: 100 * time.Millisecond, Tick: 5 * time.Millisecond, AskEvery: 10 * time.Second,
+		AnswerGrace: 20 * time.Millisecond, ColdFrom: 0.3, Ramp: 8 * time.Second, ProbeTariff: 0.01,
+		Classes: []Class{
+			{Name: "safe", Effect: Safe, Aim: 200 * time.Millisecond, Deadline: time.Second, Worth: 1},
+			{Name: "keyed", Effect: Keyed, KeyTTL: s / 3, Aim: s, Deadline: 2 * s},
+			{Name: "zonal", Effect: Keyed, Group: GroupZone, KeyTTL: s / 3, Aim: s, Deadline: 2 * s},
+			{Name: "cellular", Effect: Keyed, Group: GroupCell, KeyTTL: s, Aim: s, Deadline: 2 * s},
+			{Name: "unsafe", Effect: Unsafe, Aim: time.Second, Deadline: 2 * time.Second},
+		},
+	}
+}
+
+// start returns a balancer that knows n servers s0, s1, ... in zones a and b and cells of two.
+func start(t *testing.T, cfg Config, n int) (*Balancer, *recorder) {
+	t.Helper()
+	b, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Server
+	for i := range n {
+		id := ServerID(fmt.Sprint("s", i))
+		list = append(list, Server{ID: id, Zone: string(rune('a' + i%2)), Cell: i / 2})
+	}
+	rec := &recorder{}
+	b.Members(0, ListCached, list, rec)
+	rec.take("")
+	return b, rec
+}
+
+func TestThresholdMarksAndSpending(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: time.Second}, rec)
+	var probes []string
+	for _, l := range rec.lines {
+		if l[:5] == "probe" {
+			probes = append(probes, l[6:])
+		}
+	}
+	if len(probes) != probeSample {
+		t.Fatalf("probes = %v, want %d of them", probes, probeSample)
+	}
+	b.servers["s0"].marked, b.servers["s0"].queue = true, 9
+	rec.take("")
+	b.held = nil
+	b.Probed(0, ProbeResult{Server: "s1", Load: &Load{Queue: 5}}, rec)
+	b.Probed(0, ProbeResult{Server: "s2", Load: &Load{Queue: 3}}, rec)
+	if b.threshold != 3 {
+		t.Errorf("threshold = %v, want 3, the shortest of the round", b.threshold)
+	}
+	for id, want := range map[ServerID]bool{"s0": false, "s1": false, "s2": true, "s3": false} {
+		if got := b.servers[id].marked; got != want {
+			t.Errorf("%s marked = %v, want %v", id, got, want)
+		}
+	}
+	b.credit = -10 // no further round
+	b.Request(0, Request{ID: 2, Class: "safe", Expires: time.Second}, rec)
+	if got := rec.take("send"); !slices.Equal(got, []string{"send 2 s2"}) {
+		t.Errorf("sent %v, want the marked s2", got)
+	}
+	if b.servers["s2"].marked {
+		t.Error("the send did not spend its mark")
+	}
+}
+
+func TestRefuseAndSendLegality(t *testing.T) {
+	tests := []struct {
+		class     string
+		first     Status
+		again     []ServerID // servers that may get the second attempt
+		refusable bool
+	}{
+		{"safe", AppError, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"keyed", AppError, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"zonal", AppError, []ServerID{"s0", "s2"}, false},
+		{"cellular", Reset, []ServerID{"s0", "s1"}, false},
+		{"cellular", Full, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"unsafe", AppError, nil, false},
+		{"unsafe", ConnectFailed, []ServerID{"s0", "s1", "s2", "s3"}, true},
+		{"unknown", Timeout, nil, false},
+	}
+	for _, tt := range tests {
+		b, _ := start(t, testConfig(), 4)
+		c := b.classes[tt.class]
+		if c == nil {
+			c = &class{Class: Class{Effect: Unsafe}}
+		}
+		s := b.servers["s0"]
+		r := &request{Request: Request{Expires: time.Second}, class: c}
+		r.attempts = []attempt{{server: s, zone: s.Zone, cell: s.Cell, notRun: tt.first.NotRun()}}
+		var again []ServerID
+		for _, id := range sortedKeys(b.servers) {
+			if b.maySend(0, r, b.servers[id]) {
+				again = append(again, id)
+			}
+		}
+		if !slices.Equal(again, tt.again) {
+			t.Errorf("%s after %v may go to %v, want %v", tt.class, tt.first, again, tt.again)
+		}
+		if got := mayRefuse(r); got != tt.refusable {
+			t.Errorf("%s after %v: mayRefuse = %v, want %v", tt.class, tt.first, got, tt.refusable)
+		}
+	}
+}
+
+func TestNoSecondCopyWhereForbidden(t *testing.T) {
+	cfg := testConfig()
+	for _, may := range []bool{true, false} {
+		cfg.MayDuplicate = may
+		b, _ := start(t, cfg, 2)
+		s := b.servers["s0"]
+		r := &request{Request: Request{Expires: time.Second}, class: b.classes["safe"], out: 1}
+		r.attempts = []attempt{{server: s, out: true}}
+		if got := b.maySend(0, r, b.servers["s1"]); got != may {
+			t.Errorf("MayDuplicate %v: maySend = %v", may, got)
+		}
+	}
+}
+
+// TestColdServerIsSentItsShare guards against pushing over a server that has just started: its queue is
+// short because it is new, so marks and probe rounds would choose it.
+func TestColdServerIsSentItsShare(t *testing.T) {
+	cfg := testConfig()
+	now := time.Minute
+	tests := []struct {
+		name    string
+		allCold bool
+		want    float64 // share of requests that s0 is sent
+	}{
+		{"one of two", false, cfg.ColdFrom / 2},
+		{"both", true, cfg.ColdFrom}, // at most; the rest is refused or goes to the other
+	}
+	for _, tc := range tests {
+		b, rec := start(t, cfg, 2)
+		cold := b.servers["s0"]
+		cold.Started = now
+		if tc.allCold {
+			b.servers["s1"].Started = now
+		}
+		const requests = 4000
+		sent := 0
+		for i := range requests {
+			for _, s := range b.ready {
+				s.marked, s.markedAt = true, now
+			}
+			r := &request{
+				Request: Request{ID: RequestID(i + 1), Expires: now + time.Second},
+				class:   b.classes["safe"], useful: now + time.Second, end: now + time.Second,
+			}
+			b.send(now, r, b.set(now), rec)
+			if n := len(r.attempts); n > 0 && r.attempts[0].server == cold {
+				sent++
+			}
+			again := b.send(now, r, b.set(now), rec)
+			if n := len(r.attempts); again && n > 1 && r.attempts[n-1].server == cold {
+				t.Fatalf("%s: a further attempt went to a cold server", tc.name)
+			}
+		}
+		if share := float64(sent) / requests; share > tc.want+0.03 || share < tc.want*0.8-0.03 {
+			t.Errorf("%s: cold server got a share of %.3f, want about %.3f", tc.name, share, tc.want)
+		}
+		if w := b.warmth(now+cfg.Ramp, cold); w != 1 {
+			t.Errorf("warmth after the ramp = %v, want 1", w)
+		}
+	}
+}
+
+// TestFailingServerIsLeftOut guards against a server that errs at once and so keeps a short queue.
+func TestFailingServerIsLeftOut(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	s := b.servers["s0"]
+	s.marked = true
+	b.failed(0, s, AppError)
+	if s.marked || slices.Contains(b.set(0), s) {
+		t.Error("a server that erred is still marked or in the ready set")
+	}
+	if !slices.Contains(b.set(firstEject), s) {
+		t.Error("the ejection does not end")
+	}
+	for _, id := range sortedKeys(b.servers) {
+		b.failed(0, b.servers[id], ConnectFailed)
+	}
+	if got := b.set(0); len(got) != b.setSize {
+		t.Errorf("with all ejected the ready set has %d servers, want %d", len(got), b.setSize)
+	}
+	rec.take("")
+}
+
+// TestHeldRequestIsRefusedWithoutReply guards against sending into queues that nobody can see past.
+func TestHeldRequestIsRefusedWithoutReply(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: time.Second}, rec)
+	if got := rec.take("send"); len(got) != 0 {
+		t.Fatalf("sent %v on no figures at all", got)
+	}
+	b.Timer(b.requests[1].patience, token(1), rec)
+	if got := rec.take("refuse"); !slices.Equal(got, []string{"refuse 1"}) {
+		t.Errorf("got %v, want a refusal", got)
+	}
+	b.Request(0, Request{ID: 2, Class: "safe", Expires: time.Second}, rec)
+	probed := b.requests[2].probed[0].ID
+	rec.take("")
+	b.Probed(0, ProbeResult{Server: probed, Load: &Load{Queue: 1}}, rec)
+	if got := rec.take("send"); !slices.Equal(got, []string{"send 2 " + string(probed)}) {
+		t.Errorf("sent %v, want request 2 to go to %s, the first to reply", got, probed)
+	}
+}
+
+// TestBegan guards against work for a client's later try whose aim has passed, and against taking first
+// tries for late ones because the last try of a request gets longer.
+func TestBegan(t *testing.T) {
+	const ms = time.Millisecond
+	usual := []Request{{Expires: 400 * ms}, {Expires: 400 * ms}}
+	owed := &request{Request: Request{Tenant: "t", Key: "k"}, began: 100 * ms}
+	tests := []struct {
+		name   string
+		before []Request // at 0
+		owed   []*request
+		now    Time
+		q      Request
+		want   Time
+	}{
+		{"nothing known", nil, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
+		{"a usual try", usual, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
+		{"a last try gets longer", usual, nil, 300 * ms, Request{Expires: 1200 * ms}, 200 * ms},
+		{"a last try is cut short", usual, nil, 900 * ms, Request{Expires: 1000 * ms}, 0},
+		{"a retry of one owed", usual, []*request{owed}, 300 * ms,
+			Request{Expires: 700 * ms, Tenant: "t", Key: "k"}, 100 * ms},
+		{"of another key", usual, []*request{owed}, 300 * ms,
+			Request{Expires: 700 * ms, Tenant: "t"}, 300 * ms},
+		{"too late for it", usual, []*request{owed}, 800 * ms,
+			Request{Expires: 1200 * ms, Tenant: "t", Key: "k"}, 800 * ms},
+	}
+	for _, tc := range tests {
+		c := &class{Class: Class{Deadline: time.Second}}
+		for _, q := range tc.before {
+			c.began(0, q, 5*ms)
+		}
+		c.owed = tc.owed
+		if got := c.began(tc.now, tc.q, 5*ms); got != tc.want {
+			t.Errorf("%s: began %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestWorthlessTryIsFailedAtOnce guards against work for a retry of a request whose aim has passed.
+func TestWorthlessTryIsFailedAtOnce(t *testing.T) {
+	b, rec := start(t, testConfig(), 0)
+	b.Request(0, Request{ID: 1, Class: "safe", Expires: 500 * time.Millisecond}, rec)
+	b.Timer(b.requests[1].end, token(1), rec)
+	b.Request(210*time.Millisecond, Request{ID: 2, Class: "safe", Expires: 710 * time.Millisecond}, rec)
+	if got := rec.take("fail"); !slices.Equal(got, []string{"fail 1", "fail 2"}) {
+		t.Errorf("got %v, want both requests failed", got)
+	}
+}
+
+// TestReadySetsAreBalanced guards against connections from every sidecar to every server, and
+// against sets that fall on some servers more than on others.
+func TestReadySetsAreBalanced(t *testing.T) {
+	cfg := testConfig()
+	cfg.GroupSize, cfg.ConnectionTariff = 600, 0.08
+	count := map[ServerID]int{}
+	for i := range cfg.GroupSize {
+		cfg.Ordinal = i
+		b, _ := start(t, cfg, 40)
+		for _, s := range b.set(0) {
+			count[s.ID]++
+		}
+	}
+	want := cfg.GroupSize * minReadySet / 40
+	for id, n := range count {
+		if n < want*9/10 || n > want*11/10 {
+			t.Errorf("%s is in %d ready sets, want about %d", id, n, want)
+		}
+	}
+}
+
+func TestConfigOutOfRange(t *testing.T) {
+	tests := map[string]func(*Config){
+		"no group":         func(c *Config) { c.GroupSize = 0 },
+		"ordinal":          func(c *Config) { c.Ordinal = 1 },
+		"attempts":         func(c *Config) { c.MaxAttempts = 0 },
+		"cold share":       func(c *Config) { c.ColdFrom = 1.5 },
+		"negative ramp":    func(c *Config) { c.Ramp = -1 },
+		"negative tick":    func(c *Config) { c.Tick = -1 },
+		"aim":              func(c *Config) { c.Classes[0].Aim = 0 },
+		"aim and deadline": func(c *Config) { c.Classes[0].Deadline = 1 },
+		"worth":            func(c *Config) { c.Classes[0].Worth = -1 },
+	}
+	for name, change := range tests {
+		cfg := testConfig()
+		change(&cfg)
+		if _, err := New(cfg, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// TestWarmKeysHaveHomes guards against spreading a key over servers that each have to learn it anew.
+func TestWarmKeysHaveHomes(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		cfg := testConfig()
+		cfg.WarmKeys = warm
+		b, rec := start(t, cfg, 12)
+		probed := map[string]bool{}
+		for id := range RequestID(20) {
+			b.Request(0, Request{ID: id + 1, Class: "safe", Key: "k", Expires: time.Second}, rec)
+			for _, p := range rec.take("probe") {
+				probed[p] = true
+			}
+		}
+		if homes := len(probed) == probeSample; homes != warm {
+			t.Errorf("warm keys %v: rounds for one key asked %d servers", warm, len(probed))
+		}
+	}
+}
+
+// TestProbesFollowNeed guards against paying for probes while every server is idle, and against
+// going without them once servers fail.
+func TestProbesFollowNeed(t *testing.T) {
+	cfg := testConfig()
+	cfg.ProbeTariff = probeSpend // one probe a request, at most
+	b, rec := start(t, cfg, 4)
+	id := RequestID(0)
+	probes := func(queue float64) (n int) {
+		for range 100 {
+			id++
+			b.Request(0, Request{ID: id, Class: "safe", Expires: time.Second}, rec)
+			for _, l := range rec.take("") {
+				if server, ok := strings.CutPrefix(l, "probe "); ok {
+					n++
+					b.Probed(0, ProbeResult{Server: ServerID(server), Load: &Load{Queue: queue}}, rec)
+				}
+			}
+		}
+		return n
+	}
+	waiting := probes(1)
+	probes(0)
+	calm := probes(0)
+	if calm*4 > waiting || calm == 0 {
+		t.Errorf("%d probes in wait, %d with all idle: want some, a quarter at most", waiting, calm)
+	}
+	b.Outcome(0, Outcome{ID: 999, Server: "s0", Status: AppError}, rec)
+	if b.busy != 1 {
+		t.Errorf("busy %v after a failure, want 1", b.busy)
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,182 @@
+package policy
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// validate reports what in cfg is out of range.
+func (cfg Config) validate() error {
+	switch {
+	case cfg.GroupSize < 1 || cfg.Ordinal < 0 || cfg.Ordinal >= cfg.GroupSize:
+		return fmt.Errorf("policy: ordinal %d outside a group of %d", cfg.Ordinal, cfg.GroupSize)
+	case cfg.MaxAttempts < 1:
+		return errors.New("policy: MaxAttempts below 1")
+	case !(cfg.ColdFrom >= 0 && cfg.ColdFrom <= 1) || cfg.Ramp < 0:
+		return errors.New("policy: ColdFrom outside 0..1 or negative Ramp")
+	case cfg.Tick < 0 || cfg.AskEvery < 0 || cfg.AnswerGrace < 0 || cfg.DialTimeout < 0:
+		return errors.New("policy: negative time in Config")
+	}
+	for _, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline < c.Aim || c.Worth < 0 || c.KeyTTL < 0 {
+			return fmt.Errorf("policy: class %q: aim, deadline, worth or window out of range", c.Name)
+		}
+	}
+	return nil
+}
+
+type class struct {
+	Class
+	usual time.Duration // the time that clients give most tries; the last one gets all that is left
+	votes int           // by how many the tries of the usual time lead
+	owed  []*request    // ended unanswered while their clients go on: a try of each may follow
+}
+
+// minVotes tells that the usual time of a try is known.
+const minVotes = 2
+
+// began estimates when the request began of which q is a try, as few clients mark their retries. A last
+// try, which gets all the time that is left of the deadline rather than the usual, tells it exactly.
+// Another is taken for a retry of a request owed to the same tenant and key, if one could come now.
+func (c *class) began(now Time, q Request, tick time.Duration) Time {
+	left := q.Expires - now
+	near := (left - c.usual).Abs() <= 2*tick
+	known := c.votes >= minVotes
+	switch { // the majority vote of Boyer and Moore
+	case near:
+		c.votes = min(c.votes+1, 4*minVotes)
+	case c.votes == 0:
+		c.usual, c.votes = left, 1
+	default:
+		c.votes--
+	}
+	c.owed = slices.DeleteFunc(c.owed, func(r *request) bool { return now > r.began+c.Deadline })
+	for i, r := range c.owed {
+		if r.Tenant == q.Tenant && r.Key == q.Key && q.Expires <= r.began+c.Deadline+2*tick {
+			c.owed = slices.Delete(c.owed, i, i+1)
+			return r.began
+		}
+	}
+	if known && !near {
+		return min(now, max(now, q.Expires)-c.Deadline)
+	}
+	return now
+}
+
+// owe notes that r ended unanswered while its client goes on.
+func (c *class) owe(r *request) { c.owed = append(c.owed, r) }
+
+type server struct {
+	Server
+	queue    float64 // latest reported queue
+	reported bool
+	marked   bool
+	markedAt Time
+	fails    int // failures in a row
+	lastOK   Time
+	used     Time    // the last send
+	open     bool    // a connection may be open
+	slowness float64 // smoothed: delay of its answers over that expected
+	ejected  Time
+}
+
+// assumedCores is how many requests a server works on at once, which is not told, until the
+// answers have taught the slope: two is the least that has any.
+const assumedCores = 2
+
+// delayModel is a running least-squares line of the delay of answers by the queue that the server had
+// reported when they were sent. Stale figures flatten the line by themselves, and so count for less.
+type delayModel struct {
+	queue, delay, variance, covariance float64
+}
+
+// learn takes one answer.
+func (m *delayModel) learn(queue, delay float64) {
+	if math.IsInf(queue, 1) {
+		return
+	}
+	if m.delay == 0 {
+		m.queue, m.delay = queue, delay
+	}
+	dq, dd := queue-m.queue, delay-m.delay
+	m.queue += smooth * dq
+	m.delay += smooth * dd
+	m.variance = (1 - smooth) * (m.variance + smooth*dq*dq)
+	m.covariance = (1 - smooth) * (m.covariance + smooth*dq*dd)
+}
+
+// at is the delay to expect at a reported queue. Until queues have varied by a request or so the
+// slope is that of assumedCores.
+func (m *delayModel) at(queue float64) float64 {
+	prior := m.delay / (1 + m.queue/assumedCores) / assumedCores
+	slope := max(0, (m.covariance+prior)/(m.variance+1))
+	return max(m.delay+slope*(queue-m.queue), m.delay/4)
+}
+
+// queueOf is the queue of JBT-d: all that a server holds, where it tells. Those that take many requests
+// at once are slow long before any of them waits. It is negative if l tells neither.
+func queueOf(l *Load) float64 {
+	if l == nil {
+		return -1
+	}
+	return max(l.Queue, l.Inflight)
+}
+
+type attempt struct {
+	server   *server
+	zone     string
+	cell     int
+	canceled bool
+	sent     Time
+	queue    float64 // that the server had reported
+	out      bool    // no outcome yet
+	notRun   bool    // proven never to have run
+}
+
+type request struct {
+	Request
+	class    *class
+	limit    time.Duration // an expected delay over it means refusal
+	began    Time          // when the client first asked, as far as can be told
+	useful   Time          // an answer after this has lost worth
+	end      Time          // a final answer is given then at the latest
+	patience Time          // while held: a refusal is given then
+	probed   []*server     // by the round it has started
+	replies  int           // of them, to all its rounds
+	attempts []attempt
+	out      int
+	ended    bool
+	stream   bool // the answer has begun; the client has it
+}
+
+func token(id RequestID) string { return strconv.FormatUint(uint64(id), 36) }
+
+// byHash sorts servers by a hash of their ID and salt.
+func byHash(list []*server, salt uint64) {
+	slices.SortFunc(list, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(hash(x.ID, salt), hash(y.ID, salt)), cmp.Compare(x.ID, y.ID))
+	})
+}
+
+func hash(id ServerID, salt uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	x := h.Sum64() ^ salt*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return x ^ x>>31
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
