--- a/cmd/cairnpick/main.go
+++ b/cmd/cairnpick/main.go
@@ -23,6 +23,10 @@
 }
 
 func run() error {
+	// Caught from the first moment on: left alone, it would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+
 	cfg, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -34,9 +38,29 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	s, err := sidecar.New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	s, err := sidecar.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	go follow(ctx, reload, s, log)
 	return s.Run(ctx)
 }
+
+// follow reloads the configuration at each signal until ctx ends. One that cannot be used leaves the present one in
+// force.
+func follow(ctx context.Context, reload <-chan os.Signal, s *sidecar.Sidecar, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		next, err := sidecar.LoadConfig(os.Getenv)
+		if err != nil {
+			log.Error("reload: the running configuration stays in force", "err", err)
+			continue
+		}
+		s.Reload(next)
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -16,6 +16,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // address of discovery
+	filed     string // what the file says of it, whatever the environment does
 	Seed      uint64
 	MemoryMB  int // the sidecar is killed over it
 	Sockets   int // descriptors that the process may hold
@@ -27,7 +28,7 @@
 const (
 	usualMemoryMB = 128
 	usualSockets  = 1024
-	leastMemoryMB = 64
+	leastMemoryMB = 24
 	leastSockets  = 64
 )
 
@@ -59,7 +60,7 @@
 	}
 	c := Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
-		MemoryMB: usualMemoryMB, Sockets: usualSockets,
+		filed: file.Discovery, MemoryMB: usualMemoryMB, Sockets: usualSockets,
 	}
 	for name, value := range map[string]*string{
 		"GW_NAME": &c.Name, "GW_LISTEN": &c.Listen, "GW_DISCOVERY": &c.Discovery,
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -85,9 +85,9 @@
 	}
 	ctx, cancel := context.WithCancel(h.ctx)
 	h.stopWatch = cancel
-	since := h.seq
+	since, addr := h.seq, h.disco
 	go func() {
-		err := h.watch(ctx, since)
+		err := h.watch(ctx, addr, since)
 		h.event(func(now policy.Time) {
 			if ctx.Err() != nil { // called off
 				return
@@ -100,10 +100,10 @@
 	}()
 }
 
-// watch hands the module what discovery says of changes after version since, until that fails.
-func (h *host) watch(ctx context.Context, since int64) error {
+// watch hands the module what discovery at addr says of changes after version since, until that fails.
+func (h *host) watch(ctx context.Context, addr string, since int64) error {
 	d := net.Dialer{Timeout: discoveryDial}
-	c, err := d.DialContext(ctx, "tcp", h.disco)
+	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	c.SetDeadline(time.Now().Add(callTime))
 	q := &http.Request{
-		Method: http.MethodGet, Host: h.disco,
+		Method: http.MethodGet, Host: addr,
 		URL: &url.URL{Path: "/v1/servers", RawQuery: "follow=1&since=" + strconv.FormatInt(since, 10)},
 	}
 	if err := q.Write(c); err != nil {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -28,19 +28,19 @@
 	origin   time.Time       // of the module's clock
 	originMs int64           // the same instant in Unix milliseconds, read once: see started
 	up       *upstreams
-	disco    string // address of discovery
 	longest  time.Duration
 	effects  map[string]policy.Effect // by class
-	deadline map[string]time.Duration // by class
 
 	mu        sync.Mutex
 	balancer  *policy.Balancer
 	requests  map[policy.RequestID]*request // until they have ended and their attempts are back
 	lastID    policy.RequestID
-	dials     map[policy.ServerID]string // addresses of the upstreams that are listed
-	seq       int64                      // of the last list message
-	stopWatch context.CancelFunc         // nil while there is no watch
-	probing   int                        // probes under way
+	ids       openIDs                   // of requests
+	peers     map[policy.ServerID]*peer // the upstreams that are listed
+	disco     string                    // address of discovery
+	seq       int64                     // of the last list message
+	stopWatch context.CancelFunc        // nil while there is no watch
+	probing   int                       // probes under way
 	timers    timerHeap
 	alarm     *time.Timer // fires when the first timer is due
 	alarmAt   policy.Time // zero: not set
@@ -50,6 +50,7 @@
 // request is one request of a client, from its last byte until all its attempts are back.
 type request struct {
 	id       policy.RequestID
+	name     string // its X-Request-ID
 	method   string
 	uri      string // as the client wrote it
 	host     string
@@ -60,7 +61,6 @@
 	attempts []*attempt
 	out      int
 	ended    bool
-	owner    *attempt // the one whose answer is passed on as it comes
 }
 
 // answer is the final answer to a request.
@@ -68,8 +68,7 @@
 	status     int
 	retryAfter time.Duration
 	header     http.Header
-	body       []byte // whole, or the beginning of what stream goes on with
-	stream     *stream
+	body       []byte
 }
 
 func newHost(ctx context.Context, cfg Config, up *upstreams, log *slog.Logger) (*host, error) {
@@ -81,16 +80,16 @@
 	h := &host{
 		settings: cfg.Settings, log: log, ctx: ctx, origin: origin, originMs: origin.UnixMilli(), up: up,
 		disco: cfg.Discovery, balancer: b, requests: map[policy.RequestID]*request{},
-		dials: map[policy.ServerID]string{}, effects: map[string]policy.Effect{},
-		deadline: map[string]time.Duration{},
+		peers: map[policy.ServerID]*peer{}, effects: map[string]policy.Effect{},
 	}
 	for _, c := range cfg.Settings.Config.Classes {
-		h.effects[c.Name], h.deadline[c.Name] = c.Effect, c.Deadline
+		h.effects[c.Name] = c.Effect
 		h.longest = max(h.longest, c.Deadline)
 	}
 	if h.longest == 0 {
 		h.longest = mostWait
 	}
+	h.ids = newOpenIDs(h.longest)
 	h.alarm = time.AfterFunc(longAgo, h.ring)
 	h.alarm.Stop()
 	if cfg.Known != nil {
@@ -117,21 +116,27 @@
 	}
 }
 
-// take hands a request to the module. Its time has run since read.
-func (h *host) take(r *request, q policy.Request, read policy.Time, timeout time.Duration) {
+// take hands a request, whose last byte has just come, to the module. It takes none whose id another has that is open.
+func (h *host) take(r *request, q policy.Request, timeout time.Duration) error {
+	var err error
 	h.event(func(now policy.Time) {
+		if !h.ids.open(now, r.name) {
+			err = errIDInUse
+			return
+		}
 		h.lastID++
 		r.id = h.lastID
 		h.requests[r.id] = r
-		q.ID, q.Expires = r.id, read+timeout
+		q.ID, q.Expires = r.id, now+timeout
 		h.balancer.Request(now, q, h)
 	})
+	return err
 }
 
 // withdraw tells the module that the client has left, and reports whether the request was still open.
 func (h *host) withdraw(r *request) (open bool) {
 	h.event(func(now policy.Time) {
-		if r.ended || r.owner != nil {
+		if r.ended {
 			return
 		}
 		open, r.ended = true, true
@@ -143,7 +148,7 @@
 
 // end gives r its final answer. It guards against a second one.
 func (h *host) end(r *request, a answer) {
-	if r == nil || r.ended || r.owner != nil {
+	if r == nil || r.ended {
 		return
 	}
 	r.ended = true
@@ -157,6 +162,7 @@
 		return
 	}
 	delete(h.requests, r.id)
+	h.ids.close(h.now(), r.name)
 	r.body = nil
 	r.free()
 }
@@ -173,10 +179,7 @@
 	}
 	a.done = true
 	r.out--
-	switch {
-	case r.owner == a: // the client has had the answer as it came, whole or not
-		r.ended = true
-	case status == policy.OK && !r.ended && r.owner == nil:
+	if status == policy.OK && !r.ended {
 		r.ended = true
 		r.answer <- ans
 	}
@@ -187,21 +190,6 @@
 	h.forget(r)
 }
 
-// begin makes a's answer the one that the client gets as it comes, and reports whether it is: an attempt
-// that lost, or was called off, may write nothing.
-func (h *host) begin(a *attempt, ans answer) (won bool) {
-	h.event(func(now policy.Time) {
-		r := a.req
-		if r.ended || r.owner != nil || a.isCanceled() {
-			return
-		}
-		won, r.owner = true, a
-		r.answer <- ans
-		h.balancer.Streaming(now, r.id, a.number, h)
-	})
-	return won
-}
-
 // The methods of policy.Actions. The balancer calls them under mu, so they never block, and report what
 // comes of them through after or from a goroutine of their own.
 
@@ -214,12 +202,12 @@
 	a := &attempt{req: r, number: len(r.attempts), server: server, sent: now.Sub(h.origin), deadline: now.Add(timeout)}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	addr, listed := h.dials[server]
-	if r.ended || r.owner != nil || !listed || timeout <= 0 {
+	p, listed := h.peers[server]
+	if r.ended || !listed || timeout <= 0 {
 		h.after = append(h.after, func(now policy.Time) { h.settled(now, a, policy.Moot, nil, answer{}) })
 		return
 	}
-	go h.attempt(a, addr)
+	go h.attempt(a, p)
 }
 
 func (h *host) Refuse(id policy.RequestID, retryAfter time.Duration) {
@@ -237,8 +225,8 @@
 }
 
 func (h *host) HangUp(server policy.ServerID) {
-	if addr, ok := h.dials[server]; ok {
-		h.up.hangUp(addr)
+	if p := h.peers[server]; p != nil {
+		h.up.hangUp(p)
 	}
 }
 
@@ -296,24 +284,56 @@
 // members hands a message about the server list to the module.
 func (h *host) members(now policy.Time, kind policy.ListKind, l *list) {
 	h.seq = *l.Seq
-	if kind != policy.ListDelta {
-		clear(h.dials)
-	}
 	servers := make([]policy.Server, len(l.Hosts))
+	listed := make(map[policy.ServerID]bool, len(l.Hosts))
 	for i, e := range l.Hosts {
 		id := policy.ServerID(e.Host)
+		listed[id] = true
 		servers[i] = policy.Server{
 			ID: id, State: states[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Started: h.started(e.BornMs),
 		}
-		if servers[i].State == policy.Gone {
-			delete(h.dials, id)
-		} else {
-			h.dials[id] = e.Dial
+		h.setPeer(id, servers[i], e.Dial)
+	}
+	if kind != policy.ListDelta {
+		for id := range h.peers {
+			if !listed[id] {
+				h.setPeer(id, policy.Server{State: policy.Gone}, "")
+			}
 		}
 	}
 	h.balancer.Members(now, kind, servers, h)
 }
 
+// setPeer notes what the list says of an upstream. One that restarts, moves or goes loses its connections: another
+// process may stand at its address by now.
+func (h *host) setPeer(id policy.ServerID, s policy.Server, addr string) {
+	p := h.peers[id]
+	if p != nil && (s.State == policy.Gone || p.addr != addr || p.started != s.Started) {
+		delete(h.peers, id)
+		h.up.retire(p)
+		p = nil
+	}
+	switch {
+	case s.State == policy.Gone:
+	case p == nil:
+		h.peers[id] = &peer{addr: addr, started: s.Started}
+	case s.State == policy.Draining:
+		h.up.hangUp(p)
+	}
+}
+
+// setDiscovery makes another address that of discovery, and has the module ask there.
+func (h *host) setDiscovery(addr string) {
+	h.event(func(now policy.Time) {
+		if h.disco == addr {
+			return
+		}
+		h.disco = addr
+		h.seq = 0 // whatever stands there may count otherwise
+		h.balancer.Members(now, policy.ListMoved, nil, h)
+	})
+}
+
 // started is the module's time of a Unix time in milliseconds. It guards against a server that seems to have
 // restarted because its time was converted anew by a wall clock that has since been set: equal times stay
 // equal, and only 0 is long ago.
@@ -333,5 +353,5 @@
 func (h *host) String() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return fmt.Sprintf("%d requests, %d timers, %d upstreams", len(h.requests), len(h.timers), len(h.dials))
+	return fmt.Sprintf("%d requests, %d timers, %d upstreams", len(h.requests), len(h.timers), len(h.peers))
 }
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -30,7 +30,7 @@
 // Probe is a method of policy.Actions.
 func (h *host) Probe(server policy.ServerID) {
 	sent := h.now()
-	addr, listed := h.dials[server]
+	p, listed := h.peers[server]
 	if !listed || h.probing >= mostProbes {
 		h.after = append(h.after, func(now policy.Time) {
 			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, h)
@@ -39,7 +39,7 @@
 	}
 	h.probing++
 	go func() {
-		status, load := h.probe(addr)
+		status, load := h.probe(p)
 		h.event(func(now policy.Time) {
 			h.probing--
 			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, h)
@@ -47,13 +47,17 @@
 	}()
 }
 
-// probe asks the upstream at addr for its load.
-func (h *host) probe(addr string) (policy.Status, *policy.Load) {
-	c, err := h.up.connect(context.Background(), addr, time.Now().Add(probeTimeout))
-	if err != nil {
+// probe asks an upstream for its load.
+func (h *host) probe(p *peer) (policy.Status, *policy.Load) {
+	c, err := h.up.connect(context.Background(), p, time.Now().Add(probeTimeout))
+	var noSocket errNoSocket
+	switch {
+	case errors.As(err, &noSocket):
+		return policy.Moot, nil
+	case err != nil:
 		return policy.ConnectFailed, nil
 	}
-	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: addr})
+	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: p.addr})
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, mostReport))
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,318 +1,337 @@
 package sidecar
 
 import (
+	"bytes"
+	lists "container/list"
 	"context"
 	"errors"
 	"io"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"golang.org/x/sync/semaphore"
-
-	"heathstack/policy"
 )
 
 const (
-	// mostBody is the longest body that a request may have.
-	mostBody = 32 << 20
-	// smallBody is the longest body that need not queue for room with the long ones.
-	smallBody = 64 << 10
-	// headTime is how long a client may take to write a head, or to write anything on a new connection.
-	headTime = 10 * time.Second
-	// idleTime is how long a client's connection may stand idle.
-	idleTime = 2 * time.Minute
-	// bodyTime and bodyRate bound how long a client may take to write a body. They guard against clients that
-	// hold room and a descriptor for ever.
-	bodyTime = 10 * time.Second
-	bodyRate = 32 << 10 // bytes a second
+	// firstByteTime is how long a connection may stand without a request, be it new or between two requests. It
+	// guards descriptors against clients that connect and say nothing, or ask once and keep the connection.
+	firstByteTime = 2 * time.Second
+	// requestTime is how long a request may take from its first byte to its last. With firstByteTime it bounds the
+	// life of a connection that never brings a whole request. A client that needs longer for 64 KiB on its own
+	// machine would be cut off.
+	requestTime = 800 * time.Millisecond
 	// writeTime is how long a client may take none of its answer.
-	writeTime = 10 * time.Second
-	// mostClientHead bounds a request's head.
-	mostClientHead = 32 << 10
-	// mostWait bounds a client's wait where the settings name no class.
-	mostWait = time.Minute
+	writeTime = 2 * time.Second
+	// lingerTime and lingerBytes bound how much of a rejected request is still read, so that the client finds the
+	// error rather than a reset.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 256 << 10
+	// freshTime is the age under which a connection makes room for another only if no older one can: its first
+	// request is about to come.
+	freshTime = 100 * time.Millisecond
+	// firstPause and mostPause bound how long a connection on which a request was turned away as malformed is not
+	// read. The pause doubles with each such request in a row: clients that send the same again at full speed must
+	// not take the processor from others.
+	firstPause = 5 * time.Millisecond
+	mostPause  = 320 * time.Millisecond
+	// acceptPause is the wait after a failed accept that may pass, such as a want of descriptors.
+	acceptPause = 10 * time.Millisecond
 )
 
-// room is the memory for the bodies of requests. A body's whole length is reserved before it is read.
-// Small bodies have a part of their own, so that they never queue behind long ones.
-type room struct{ small, long *semaphore.Weighted }
+// server owns the connections of clients. Each has one goroutine, which reads a request, waits for its final answer
+// and writes it. The server reads from sockets itself, rather than through net/http's, because that hides what the
+// rules need: whether a head had both a length and a transfer encoding, and whether a connection has sent nothing.
+type server struct {
+	host    *host
+	room    *room
+	sockets *sockets
+	log     *slog.Logger
 
-func newRoom(memoryMB int) *room {
-	bytes := int64(memoryMB) << 20
-	return &room{semaphore.NewWeighted(bytes / 16), semaphore.NewWeighted(max(bytes/4, mostBody))}
+	mu       sync.Mutex
+	draining bool
+	conns    map[*clientConn]struct{} // all; the sockets bound it
+	quiet    [quietKinds]lists.List   // *clientConn without a request, longest first
+	done     sync.WaitGroup           // of the connections' goroutines
 }
 
-// reserve waits for room for n bytes, and returns the function that gives it back.
-func (m *room) reserve(ctx context.Context, n int64) (free func(), err error) {
-	part := m.long
-	switch {
-	case n == 0:
-		return func() {}, nil
-	case n <= smallBody:
-		part = m.small
-	}
-	if err := part.Acquire(ctx, n); err != nil {
-		return nil, err
-	}
-	return func() { part.Release(n) }, nil
+// The kinds of quiet connections.
+const (
+	fresh = iota // no request has come yet
+	idle         // between two requests
+	quietKinds
+)
+
+// clientConn is a client's connection. What server.mu guards is touched only under it.
+type clientConn struct {
+	net.Conn
+	release func() // of its descriptor
+	reader  *requestReader
+
+	kind  int            // server.mu: the list that place is in
+	place *lists.Element // server.mu: nil while a request is open
+	since time.Time      // server.mu: quiet since then
+}
+
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
 }
 
-// clients is the handler of the client's requests.
-type clients struct {
-	host *host
-	room *room
+func newServer(h *host, memoryMB int, s *sockets, log *slog.Logger) *server {
+	return &server{host: h, room: newRoom(memoryMB), sockets: s, log: log, conns: map[*clientConn]struct{}{}}
 }
 
-// ServeHTTP answers one request. Paths go on byte for byte, which a ServeMux would not let them.
-func (s *clients) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if q.URL.Path == "/healthz" && q.Method == http.MethodGet {
-		w.WriteHeader(http.StatusOK)
-		return
-	}
-	r, event, timeout, err := s.legal(q)
-	if err != nil {
-		w.Header().Set("Connection", "close") // what is left of the request is not read
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if !s.readBody(w, q, r) {
-		return
+// accept serves the connections that come until the listener is closed. While no descriptor is free they wait in the
+// kernel's backlog.
+func (s *server) accept(ctx context.Context, ln net.Listener) error {
+	for {
+		release, err := s.sockets.acquireClient(ctx)
+		if err != nil {
+			return err
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			release()
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			s.log.Warn("accept", "err", err)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(acceptPause):
+			}
+			continue
+		}
+		c := &clientConn{Conn: nc, release: release, reader: newRequestReader(nc)}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.setQuiet(c, fresh)
+		s.done.Add(1)
+		s.mu.Unlock()
+		go s.serve(c)
 	}
-	s.host.take(r, event, s.host.now(), timeout)
-	var ans answer
-	select {
-	case ans = <-r.answer:
-	case <-q.Context().Done():
-		if s.host.withdraw(r) {
+}
+
+// serve answers the requests of one connection in turn.
+func (s *server) serve(c *clientConn) {
+	defer s.drop(c)
+	pause := firstPause
+	for c.reader.await() == nil && s.setBusy(c) {
+		c.SetDeadline(time.Now().Add(requestTime))
+		q, err := c.reader.read(c, s.room)
+		if err != nil {
+			s.reject(c, err)
+			return
+		}
+		status, open := s.answer(c, q)
+		if !open {
+			return
+		}
+		if status < http.StatusBadRequest || status >= http.StatusInternalServerError {
+			pause = firstPause
+		} else {
+			time.Sleep(pause)
+			pause = min(2*pause, mostPause)
+		}
+		if !s.setIdle(c) {
 			return
 		}
-		ans = <-r.answer
 	}
-	s.write(w, ans)
 }
 
-// legal reads what a request says of itself.
-func (s *clients) legal(q *http.Request) (*request, policy.Request, time.Duration, error) {
-	var event policy.Request
-	if q.Header.Get("X-Request-Id") == "" {
-		return nil, event, 0, errors.New("no X-Request-ID")
-	}
-	path := strings.Split(strings.TrimPrefix(q.URL.Path, "/"), "/")
-	event.Class = path[0]
-	if len(path) > 1 {
-		event.Key = path[len(path)-1]
-	}
-	event.Tenant = q.Header.Get("X-Tenant-Id")
-	event.Retry = q.Header.Get("X-Retried") == "1"
-	if us, err := strconv.ParseInt(q.Header.Get("X-Cost"), 10, 64); err == nil && us > 0 && us < int64(time.Hour/time.Microsecond) {
-		event.Cost = time.Duration(us) * time.Microsecond
+// setQuiet puts c, which has no open request, in its list. The caller holds mu.
+func (s *server) setQuiet(c *clientConn, kind int) {
+	c.kind, c.since = kind, time.Now()
+	c.place = s.quiet[kind].PushBack(c)
+	wait := firstByteTime
+	if s.draining {
+		wait = drainQuiet
 	}
-	class, known := s.host.deadline[event.Class]
-	timeout := class
-	if ms, err := strconv.ParseInt(q.Header.Get("X-Timeout-Ms"), 10, 64); err == nil && ms > 0 {
-		// A client that would wait longer than any class allows must not make timers last for ever.
-		timeout = time.Duration(min(ms, s.host.longest.Milliseconds())) * time.Millisecond
-	} else if !known {
-		return nil, event, 0, errors.New("no usable X-Timeout-Ms")
-	}
-	if s.host.effects[event.Class] == policy.Keyed && known && q.Header.Get("Idempotency-Key") == "" {
-		// Upstreams could not tell a repeat, so that it would run twice.
-		return nil, event, 0, errors.New("no Idempotency-Key")
-	}
-	r := &request{method: q.Method, uri: q.RequestURI, host: q.Host, answer: make(chan answer, 1)}
-	r.header = forwarded(q.Header)
-	return r, event, timeout, nil
+	c.SetDeadline(c.since.Add(wait))
 }
 
-// readBody reads the body once there is room for it: until then it is left unread, and the client's time has
-// not begun. If it returns false the request has been dealt with.
-func (s *clients) readBody(w http.ResponseWriter, q *http.Request, r *request) bool {
-	n := q.ContentLength
-	if n > mostBody {
-		w.Header().Set("Connection", "close")
-		http.Error(w, "the body is over 32 MB", http.StatusRequestEntityTooLarge)
+// setIdle notes that c waits for its next request, and reports whether there may be one.
+func (s *server) setIdle(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
 		return false
 	}
-	if n < 0 {
-		n = mostBody // chunked: its length shows at its end
-	}
-	var err error
-	if r.free, err = s.room.reserve(q.Context(), n); err != nil {
-		return false // the client has gone
-	}
-	if n == 0 {
-		return true
-	}
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(bodyTime + time.Duration(n)*time.Second/bodyRate))
-	if q.ContentLength >= 0 {
-		r.body = make([]byte, n)
-		_, err = io.ReadFull(q.Body, r.body)
-	} else {
-		r.body, err = io.ReadAll(http.MaxBytesReader(w, q.Body, mostBody))
-	}
-	if err == nil {
-		rc.SetReadDeadline(time.Time{})
-		return true
-	}
-	r.free()
-	w.Header().Set("Connection", "close")
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		http.Error(w, "the body is over 32 MB", http.StatusRequestEntityTooLarge)
-	} else {
-		http.Error(w, "the body did not come whole", http.StatusBadRequest)
-	}
-	return false
+	s.setQuiet(c, idle)
+	return true
 }
 
-// write writes the final answer.
-func (s *clients) write(w http.ResponseWriter, ans answer) {
-	h := w.Header()
-	maps.Copy(h, ans.header)
-	switch {
-	case ans.stream != nil:
-		s.stream(w, ans)
-		return
-	case ans.status != http.StatusOK:
-		if ans.retryAfter > 0 {
-			h.Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
-		}
-		h["Content-Length"] = []string{"0"}
-		w.WriteHeader(ans.status)
-		return
-	}
-	h["Content-Length"] = []string{strconv.Itoa(len(ans.body))}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // none came, and none is guessed
-	}
-	if len(ans.body) > streamChunk { // it may not fit into the socket's buffer
-		rc := http.NewResponseController(w)
-		rc.SetWriteDeadline(time.Now().Add(writeTime))
-		defer rc.SetWriteDeadline(time.Time{})
+// setBusy notes that a request has begun to come on c, and reports whether c is still there: one that was closed to
+// make room for another is not.
+func (s *server) setBusy(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.place == nil {
+		return false
 	}
-	w.WriteHeader(ans.status)
-	w.Write(ans.body)
+	s.quiet[c.kind].Remove(c.place)
+	c.place = nil
+	return true
 }
 
-// stream passes a long answer on as it comes. If it breaks, the client's connection is cut, so that the client
-// can tell that the answer is not whole.
-func (s *clients) stream(w http.ResponseWriter, ans answer) {
-	if ans.stream.length >= 0 {
-		w.Header()["Content-Length"] = []string{strconv.FormatInt(ans.stream.length, 10)}
-	}
-	if _, typed := w.Header()["Content-Type"]; !typed {
-		w.Header()["Content-Type"] = nil
-	}
-	rc := http.NewResponseController(w)
-	w.WriteHeader(ans.status)
-	part, buf := ans.body, make([]byte, streamChunk)
-	var err error
-	for {
-		rc.SetWriteDeadline(time.Now().Add(writeTime))
-		_, werr := w.Write(part)
-		if werr == nil {
-			werr = rc.Flush()
-		}
-		if werr != nil { // the client has gone, or takes nothing
-			ans.stream.end(policy.Canceled)
-			panic(http.ErrAbortHandler)
-		}
-		if err != nil {
-			break
-		}
-		var n int
-		n, err = ans.stream.read(buf)
-		part = buf[:n]
-	}
-	if err != io.EOF {
-		ans.stream.end(policy.Reset)
-		panic(http.ErrAbortHandler)
+// drop closes c and forgets it.
+func (s *server) drop(c *clientConn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.place != nil {
+		s.quiet[c.kind].Remove(c.place)
+		c.place = nil
 	}
-	rc.SetWriteDeadline(time.Time{})
-	ans.stream.end(policy.OK)
+	delete(s.conns, c)
+	s.done.Done()
 }
 
-// idleClients holds the client connections that stand idle, in the order in which they became so.
-type idleClients struct {
-	mu   sync.Mutex
-	last int64
-	idle map[net.Conn]int64
-}
-
-// state is a http.Server's ConnState hook.
-func (i *idleClients) state(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if s == http.StateIdle {
-		i.last++
-		i.idle[c] = i.last
-	} else {
-		delete(i.idle, c)
+// evict closes a connection without a request to make room for another, and reports whether there was one: the oldest
+// that never sent anything, else the one idle longest. It guards against clients that hold descriptors for nothing,
+// whatever their reason; where all are in use it takes from those that would have asked again, who then connect anew.
+func (s *server) evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, least := range []time.Duration{freshTime, 0} {
+		for kind := range s.quiet {
+			for e := s.quiet[kind].Front(); e != nil; e = e.Next() {
+				c := e.Value.(*clientConn)
+				if time.Since(c.since) < least {
+					break
+				}
+				if !quiet(c.Conn) { // a request has come, or the end, and its goroutine is about to see it
+					continue
+				}
+				s.quiet[kind].Remove(e)
+				c.place = nil
+				c.Close()
+				return true
+			}
+		}
 	}
+	return false
 }
 
-// evict closes the connection that has been idle longest. A request that crosses the close has not been
-// read, and the client sends it anew.
-func (i *idleClients) evict() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	var oldest net.Conn
-	for c, n := range i.idle {
-		if oldest == nil || n < i.idle[oldest] {
-			oldest = c
+// drain makes connections close with their next answer, and closes those that are idle: a request that crosses that
+// comes again on a new connection.
+func (s *server) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for e := s.quiet[idle].Front(); e != nil; {
+		next, c := e.Next(), e.Value.(*clientConn)
+		if quiet(c.Conn) {
+			s.quiet[idle].Remove(e)
+			c.place = nil
+			c.Close()
 		}
+		e = next
 	}
-	if oldest == nil {
-		return false
+	for e := s.quiet[fresh].Front(); e != nil; e = e.Next() {
+		e.Value.(*clientConn).SetDeadline(time.Now().Add(drainQuiet))
 	}
-	delete(i.idle, oldest)
-	oldest.Close()
-	return true
 }
 
-// listener counts the descriptors of the connections that it accepts. While there is none free, connections
-// wait in the kernel's backlog.
-type listener struct {
-	net.Listener
-	ctx     context.Context
-	sockets *sockets
+// wait returns once all connections have ended, or with ctx, when it closes those that are left.
+func (s *server) wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Conn.Close()
+	}
+	return ctx.Err()
 }
 
-func (l *listener) Accept() (net.Conn, error) {
-	release, err := l.sockets.acquireClient(l.ctx)
-	if err != nil {
-		return nil, err
+// answer carries out q, whose last byte has come, and writes its one answer. It reports its status, and whether
+// another request may follow on c.
+func (s *server) answer(c *clientConn, q *clientRequest) (status int, open bool) {
+	c.SetDeadline(time.Time{})
+	if q.path == "/healthz" && q.method == http.MethodGet {
+		q.free()
+		return http.StatusOK, s.write(c, answer{status: http.StatusOK}, q.last)
+	}
+	r, event, timeout, err := s.host.legal(q)
+	if err == nil {
+		err = s.host.take(r, event, timeout)
 	}
-	c, err := l.Listener.Accept()
 	if err != nil {
-		release()
-		return nil, err
+		q.free()
+		var bad badRequest
+		errors.As(err, &bad)
+		return bad.status, s.write(c, answer{status: bad.status, body: []byte(bad.text + "\n")}, q.last)
 	}
-	return &clientConn{c, release}, nil
-}
-
-type clientConn struct {
-	net.Conn
-	release func()
+	gone := c.reader.watch()
+	var ans answer
+	select {
+	case ans = <-r.answer:
+	case <-gone:
+		if c.reader.left && s.host.withdraw(r) {
+			return 0, false
+		}
+		ans = <-r.answer
+	}
+	if !c.reader.unwatch(c, gone) {
+		return 0, false
+	}
+	return ans.status, s.write(c, ans, q.last)
 }
 
-func (c *clientConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
+// write writes an answer, and reports whether another request may follow.
+func (s *server) write(c *clientConn, ans answer, last bool) (open bool) {
+	s.mu.Lock()
+	last = last || s.draining
+	s.mu.Unlock()
+	var b bytes.Buffer
+	b.Grow(256 + len(ans.body))
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(ans.status))
+	b.WriteByte(' ')
+	b.WriteString(http.StatusText(ans.status))
+	b.WriteString("\r\n")
+	if ans.header != nil {
+		ans.header.Write(&b)
+	}
+	if ans.retryAfter > 0 {
+		b.WriteString("Retry-After: ")
+		b.WriteString(strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
+		b.WriteString("\r\n")
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(len(ans.body)))
+	b.WriteString("\r\n\r\n")
+	b.Write(ans.body)
+	c.SetDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(b.Bytes())
+	return err == nil && !last
 }
 
-func newServer(handler http.Handler, idle *idleClients, log *slog.Logger) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: mostClientHead,
-		ConnState: idle.state, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-		DisableGeneralOptionsHandler: true,
+// reject answers a request that could not be read, and reads on for a moment.
+func (s *server) reject(c *clientConn, err error) {
+	var bad badRequest
+	if !errors.As(err, &bad) {
+		return // the client has gone
+	}
+	s.write(c, answer{status: bad.status, body: []byte(bad.text + "\n")}, true)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.SetDeadline(time.Now().Add(lingerTime))
+		io.CopyN(io.Discard, c.Conn, lingerBytes)
 	}
 }
--- a/internal/sidecar/sockets.go
+++ b/internal/sidecar/sockets.go
@@ -11,9 +11,10 @@
 const (
 	// spareSockets are descriptors that are not counted: the listener, discovery, the log, the runtime's poller.
 	spareSockets = 16
-	// clientShare is the part of the sockets that clients may hold. The rest is always left for upstreams, so
-	// that requests which were taken can be answered.
-	clientShare = 0.6
+	// clientShare is the part of the sockets that clients may hold: more than the third that those with requests
+	// need, since others connect too. The rest is always left for upstreams, so that requests which were taken can
+	// be answered, and for their further attempts and probes.
+	clientShare = 0.45
 	// scarceShare is the part in use from which idle connections are not kept.
 	scarceShare = 0.9
 	// socketRetry is how often one that waits for a descriptor looks for idle connections to close.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -22,19 +23,22 @@
 )
 
 const (
-	// wholeAnswer is the longest answer that is read whole before it counts as OK.
-	wholeAnswer = 64 << 10
-	// streamChunk is the buffer through which longer ones pass.
-	streamChunk = 16 << 10
-	// streamStall is how long an upstream may be silent in the middle of an answer before it counts as broken.
-	streamStall = 5 * time.Second
+	// answerTime is how long an answer may take from its first byte to its last. It guards against answers that stop
+	// half way or never end, while the connection stays open: without it each would cost all the time that the request
+	// has. An upstream that computes while it writes, or a link on which 64 KiB take longer, would be cut off.
+	answerTime = 250 * time.Millisecond
 	// mostHead bounds the head of an upstream's answer: one that never ends must not fill the memory.
-	mostHead = 64 << 10
+	mostHead = 16 << 10
 	// mostInterim bounds the 1xx answers before the final one.
 	mostInterim = 5
+	// mostErrorBody bounds what is read of the body of an answer that is no 200, to use the connection again.
+	mostErrorBody = 4 << 10
 	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
 	// at the limit, and a request that crosses that close is lost to a reset.
 	idleShare = 0.6
+	// settleTime is how long a connection should have been idle before it is used again: what an upstream sends
+	// behind its answer shows by then. A younger one is used only if the alternative is to dial.
+	settleTime = 5 * time.Millisecond
 	// connBuffer is the size of a connection's two buffers: most heads and answers fit.
 	connBuffer = 4 << 10
 )
@@ -83,29 +87,43 @@
 	dialTimeout time.Duration
 	idleFor     time.Duration // how long a connection is kept idle
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address; the last one used comes last
+	mu    sync.Mutex
+	inUse map[*peer]struct{} // those with idle connections
+}
+
+// peer is one process of an upstream, at one address.
+type peer struct {
+	addr    string
+	started policy.Time
+
+	retired bool    // under upstreams.mu: it is listed no more, and keeps no connection
+	idle    []*conn // under upstreams.mu: longest idle first
 }
 
 // conn is a connection to an upstream.
 type conn struct {
 	net.Conn
-	addr    string
-	release func() // of its descriptor
-	r       *bufio.Reader
-	w       *bufio.Writer
-	budget  int // bytes that may still be read
-	since   time.Time
-	reused  bool
+	peer     *peer
+	release  func() // of its descriptor
+	r        *bufio.Reader
+	w        *bufio.Writer
+	budget   int       // bytes that may still be read of the present answer
+	deadline time.Time // of the present exchange
+	begun    bool      // the answer's first byte has come
+	since    time.Time
 }
 
-// Read guards against a head without end.
+// Read guards against answers without end, be it in bytes or in time.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.budget <= 0 {
-		return 0, errors.New("the answer's head is too long")
+		return 0, errors.New("the answer is too long")
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
 	c.budget -= n
+	if n > 0 && !c.begun {
+		c.begun = true
+		c.SetReadDeadline(earlier(c.deadline, time.Now().Add(answerTime)))
+	}
 	return n, err
 }
 
@@ -118,44 +136,53 @@
 func newUpstreams(cfg policy.Config, s *sockets) *upstreams {
 	return &upstreams{
 		sockets: s, dialTimeout: cfg.DialTimeout, idleFor: time.Duration(float64(cfg.ConnIdle) * idleShare),
-		idle: map[string][]*conn{},
+		inUse: map[*peer]struct{}{},
 	}
 }
 
-// reuse returns an idle connection to addr, or nil. One on which the upstream has closed, or has said
-// something unasked, is of no use: what is written to it would end as a reset.
-func (u *upstreams) reuse(addr string, deadline time.Time) *conn {
+// reuse returns an idle connection to p, or nil. One on which the upstream has closed, or has said something unasked,
+// is of no use: what is written to it would end as a reset, or be answered with what was meant for another.
+func (u *upstreams) reuse(p *peer) *conn {
 	for {
 		u.mu.Lock()
-		list := u.idle[addr]
-		if len(list) == 0 {
+		n := len(p.idle)
+		if n == 0 {
 			u.mu.Unlock()
 			return nil
 		}
-		c := list[len(list)-1]
-		u.setIdle(addr, list[:len(list)-1])
+		i := n - 1
+		for i > 0 && time.Since(p.idle[i].since) < settleTime {
+			i--
+		}
+		if time.Since(p.idle[i].since) < settleTime {
+			i = 0
+		}
+		c := p.idle[i]
+		u.setIdle(p, slices.Delete(p.idle, i, i+1))
 		u.mu.Unlock()
-		c.SetDeadline(deadline)
 		if time.Since(c.since) < u.idleFor && c.quiet() {
-			c.reused = true
 			return c
 		}
 		c.Close()
 	}
 }
 
-// setIdle replaces an address's list, and drops an empty one: addresses come and go for ever.
-func (u *upstreams) setIdle(addr string, list []*conn) {
-	if len(list) == 0 {
-		delete(u.idle, addr)
-		return
+// setIdle replaces the idle connections of p.
+func (u *upstreams) setIdle(p *peer, idle []*conn) {
+	p.idle = idle
+	if len(idle) > 0 {
+		u.inUse[p] = struct{}{}
+	} else {
+		delete(u.inUse, p)
 	}
-	u.idle[addr] = list
 }
 
-// quiet reports whether nothing is there to be read, neither bytes nor the end.
-func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+// quiet reports whether nothing is there to be read from the upstream, neither bytes nor the end.
+func (c *conn) quiet() bool { return c.r.Buffered() == 0 && quiet(c.Conn) }
+
+// quiet reports whether nothing is there to be read from c, neither bytes nor the end.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -164,57 +191,84 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
 	})
-	return err == nil && quiet && c.r.Buffered() == 0
+	return err == nil && quiet
 }
 
-// keep makes c idle.
+// keep makes c idle, unless something came behind the answer.
 func (u *upstreams) keep(c *conn) {
-	if u.idleFor <= 0 || c.r.Buffered() > 0 || u.sockets.scarce() {
+	if u.idleFor <= 0 || u.sockets.scarce() || !c.quiet() {
 		c.Close()
 		return
 	}
 	c.since = time.Now()
 	u.mu.Lock()
-	u.idle[c.addr] = append(u.idle[c.addr], c)
+	kept := !c.peer.retired
+	if kept {
+		u.setIdle(c.peer, append(c.peer.idle, c))
+	}
 	u.mu.Unlock()
+	if !kept {
+		c.Close()
+	}
 }
 
-// hangUp closes the idle connections to addr.
-func (u *upstreams) hangUp(addr string) {
+// hangUp closes the idle connections to p.
+func (u *upstreams) hangUp(p *peer) {
 	u.mu.Lock()
-	list := u.idle[addr]
-	delete(u.idle, addr)
+	idle := p.idle
+	u.setIdle(p, nil)
 	u.mu.Unlock()
-	for _, c := range list {
+	for _, c := range idle {
 		c.Close()
 	}
 }
 
-// closeIdle closes the connections that have been idle for d, and returns how many it closed.
-func (u *upstreams) closeIdle(d time.Duration, most int) int {
+// retire makes p keep no connection any more.
+func (u *upstreams) retire(p *peer) {
+	u.mu.Lock()
+	p.retired = true
+	u.mu.Unlock()
+	u.hangUp(p)
+}
+
+// evict closes an idle connection, and reports whether there was one.
+func (u *upstreams) evict() bool {
+	var c *conn
+	u.mu.Lock()
+	for p := range u.inUse {
+		c = p.idle[0]
+		u.setIdle(p, p.idle[1:])
+		break
+	}
+	u.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// closeIdle closes the connections that have been idle for idleFor.
+func (u *upstreams) closeIdle() {
 	var old []*conn
 	u.mu.Lock()
-	for addr, list := range u.idle {
+	for p := range u.inUse {
 		n := 0
-		for n < len(list) && len(old) < most && time.Since(list[n].since) >= d {
-			old = append(old, list[n])
+		for n < len(p.idle) && time.Since(p.idle[n].since) >= u.idleFor {
 			n++
 		}
-		if n > 0 {
-			u.setIdle(addr, slices.Clone(list[n:]))
-		}
+		old = append(old, p.idle[:n]...)
+		u.setIdle(p, slices.Delete(p.idle, 0, n))
 	}
 	u.mu.Unlock()
 	for _, c := range old {
 		c.Close()
 	}
-	return len(old)
 }
 
 // sweep closes idle connections in time until ctx ends.
@@ -229,31 +283,40 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			u.closeIdle(u.idleFor, 1<<30)
+			u.closeIdle()
 		}
 	}
 }
 
-// connect returns an idle connection to addr, or dials one.
-func (u *upstreams) connect(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
-	if c := u.reuse(addr, deadline); c != nil {
-		return c, nil
-	}
-	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
-	defer cancel()
-	release, err := u.sockets.acquire(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var d net.Dialer
-	d.KeepAlive = -1 // idle connections do not live long enough for it
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		release()
-		return nil, err
+// errNoSocket wraps what kept this sidecar from opening a connection at all. It says nothing of the upstream.
+type errNoSocket struct{ error }
+
+func (e errNoSocket) Unwrap() error { return e.error }
+
+// connect returns an idle connection to p, or dials one.
+func (u *upstreams) connect(ctx context.Context, p *peer, deadline time.Time) (*conn, error) {
+	c := u.reuse(p)
+	if c == nil {
+		ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
+		defer cancel()
+		release, err := u.sockets.acquire(ctx)
+		if err != nil {
+			return nil, errNoSocket{err}
+		}
+		var d net.Dialer
+		d.KeepAlive = -1 // idle connections do not live long enough for it
+		nc, err := d.DialContext(ctx, "tcp", p.addr)
+		if err != nil {
+			release()
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+				err = errNoSocket{err}
+			}
+			return nil, err
+		}
+		c = &conn{Conn: nc, peer: p, release: release}
+		c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, connBuffer)
 	}
-	c := &conn{Conn: nc, addr: addr, release: release}
-	c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, connBuffer)
+	c.deadline, c.begun = deadline, false
 	c.SetDeadline(deadline)
 	return c, nil
 }
@@ -286,7 +349,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
-			c.budget = 1 << 62 // the body is bounded by its readers
+			c.budget = 2 * mostBody // chunks have some bytes beside the body's
 			return resp, nil
 		}
 	}
@@ -294,14 +357,14 @@
 }
 
 // attempt carries out one attempt, and tells its one outcome.
-func (h *host) attempt(a *attempt, addr string) {
+func (h *host) attempt(a *attempt, p *peer) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if !a.onCancel(cancel) {
 		h.settle(a, policy.Canceled, nil, answer{})
 		return
 	}
-	c, err := h.up.connect(ctx, addr, a.deadline)
+	c, err := h.up.connect(ctx, p, a.deadline)
 	if err != nil {
 		h.broken(a, errNotWritten{err})
 		return
@@ -327,7 +390,7 @@
 			resp.Header.Get("X-Not-Processed") == "1" {
 			status = policy.Full
 		}
-		_, err := io.CopyN(io.Discard, resp.Body, connBuffer)
+		_, err := io.CopyN(io.Discard, resp.Body, mostErrorBody)
 		h.done(a, c, resp, err == io.EOF)
 		h.settle(a, status, load, answer{})
 		return
@@ -335,45 +398,34 @@
 	h.pass(a, c, resp, load)
 }
 
-// pass takes a 200 answer: whole if it is short, else as it comes.
+// pass takes a 200 answer. It counts only once it is whole, so that what is spoilt reaches no client.
 func (h *host) pass(a *attempt, c *conn, resp *http.Response, load *policy.Load) {
-	ans := answer{status: http.StatusOK, header: forwarded(resp.Header)}
-	var err error
-	long := resp.ContentLength > wholeAnswer
-	switch {
-	case long:
-		ans.body = make([]byte, streamChunk)
-		var n int
-		n, err = io.ReadAtLeast(resp.Body, ans.body, 1)
-		ans.body = ans.body[:n]
-	case resp.ContentLength >= 0:
-		ans.body = make([]byte, resp.ContentLength)
-		_, err = io.ReadFull(resp.Body, ans.body)
-	default:
-		var b bytes.Buffer
-		_, err = b.ReadFrom(io.LimitReader(resp.Body, wholeAnswer+1))
-		ans.body = b.Bytes()
-		long = len(ans.body) > wholeAnswer
-	}
+	body, err := readBody(resp)
 	if err != nil {
 		c.Close()
 		h.broken(a, err)
 		return
 	}
-	if !long {
-		h.done(a, c, resp, true)
-		h.settle(a, policy.OK, load, ans)
-		return
-	}
-	ans.stream = &stream{conn: c, body: resp.Body, length: resp.ContentLength}
-	ans.stream.end = func(status policy.Status) {
-		h.done(a, c, resp, status == policy.OK)
-		h.settle(a, status, load, answer{})
-	}
-	if !h.begin(a, ans) {
-		c.Close()
-		h.settle(a, policy.Canceled, nil, answer{})
-	}
+	h.done(a, c, resp, true)
+	h.settle(a, policy.OK, load, answer{status: http.StatusOK, header: forwarded(resp.Header), body: body})
+}
+
+// readBody reads the body of an answer whole. It takes memory for what has come, not for what the head promises.
+func readBody(resp *http.Response) ([]byte, error) {
+	switch {
+	case resp.ContentLength > mostBody:
+		return nil, fmt.Errorf("an answer of %d bytes", resp.ContentLength)
+	case 0 <= resp.ContentLength && resp.ContentLength <= connBuffer:
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	var b bytes.Buffer
+	_, err := b.ReadFrom(io.LimitReader(resp.Body, mostBody+1))
+	if err == nil && b.Len() > mostBody {
+		err = errors.New("an answer of over 64 KiB")
+	}
+	return b.Bytes(), err
 }
 
 // done keeps a connection for the next request, if the exchange on it ended in order.
@@ -385,36 +437,25 @@
 	h.up.keep(c)
 }
 
-// broken tells the outcome of an attempt that ended without an answer.
+// broken tells the outcome of an attempt that ended without a whole answer.
 func (h *host) broken(a *attempt, err error) {
 	status := policy.Reset
 	var notWritten errNotWritten
+	var noSocket errNoSocket
 	switch {
 	case a.isCanceled():
 		status = policy.Canceled
+	case errors.As(err, &noSocket): // no evidence against the upstream
+		status = policy.Moot
 	case errors.As(err, &notWritten): // whatever ended it, the upstream never had the whole
 		status = policy.ConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(a.deadline):
 		status = policy.Timeout
 	}
-	h.log.Debug("attempt", "request", a.req.header.Get("X-Request-Id"), "upstream", a.server, "status", status, "err", err)
+	h.log.Debug("attempt", "request", a.req.name, "upstream", a.server, "status", status, "err", err)
 	h.settle(a, status, nil, answer{})
 }
 
-// stream is the rest of an answer that is passed on as it comes. Its end is told once.
-type stream struct {
-	conn   *conn
-	body   io.Reader
-	length int64 // -1: not known
-	end    func(policy.Status)
-}
-
-// read reads a further part.
-func (s *stream) read(p []byte) (int, error) {
-	s.conn.SetReadDeadline(time.Now().Add(streamStall))
-	return s.body.Read(p)
-}
-
 // request is what the upstream is sent.
 func (a *attempt) request() *http.Request {
 	r := a.req
--- a/policy/api.go
+++ b/policy/api.go
@@ -114,6 +114,7 @@
 	ListFull                   // everything; absent servers are gone
 	ListCached                 // everything, perhaps out of date
 	ListFailed                 // a call failed or the subscription broke
+	ListMoved                  // the list is to be had at another address from now on
 )
 
 // Request is a client's request.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,10 +88,15 @@
 		// that ask again at once would swamp the list service for good.
 		b.watching = false
 		b.watchFails++
-		pause := b.cfg.AskEvery / 8 << min(b.watchFails, 3)
+		pause := b.spread(b.cfg.AskEvery/8) << min(b.watchFails, 3)
 		act.SetTimer(pause/2+b.jitter(pause), "watch")
 		return
 	}
+	if kind == ListMoved {
+		b.watching, b.watchFails = false, 0
+		act.SetTimer(b.jitter(b.spread(b.cfg.AskEvery/16)), "watch")
+		return
+	}
 	if kind != ListDelta {
 		for _, s := range b.servers {
 			s.State = Gone
@@ -109,8 +114,13 @@
 		s.Server = e
 	}
 	b.rebuild()
+	for id, s := range b.servers { // ids come and go for ever; attempts keep hold of theirs
+		if s.State == Gone {
+			delete(b.servers, id)
+		}
+	}
 	if kind == ListCached && !b.cfg.Pushed && !b.watching {
-		act.SetTimer(b.jitter(b.cfg.AskEvery*6/10), "watch") // spread over most of the time that rules give
+		act.SetTimer(b.jitter(b.spread(b.cfg.AskEvery*6/10)), "watch")
 	} else if b.watching {
 		b.watchFails = 0
 	}
@@ -121,6 +131,16 @@
 	}
 }
 
+// askTurn is the part of a pause between calls to the list service that each sidecar of the group is given: so long does
+// the service work on a call.
+const askTurn = 50 * time.Millisecond
+
+// spread is the pause over which this group's calls to the list service are spread: most, which is as much as the rules
+// give, or less where the group is too small to swamp the service.
+func (b *Balancer) spread(most time.Duration) time.Duration {
+	return min(most, time.Duration(b.cfg.GroupSize)*askTurn)
+}
+
 // rebuild orders the ready servers. A ready set starts at a place given by the sidecar's number and
 // goes on in steps that differ between neighbours: every server gets equally many sidecars, and the
 // load of one that fails spreads over many. The spares after it follow by rendezvous hashing.
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,8 +69,16 @@
 	return now
 }
 
+// mostOwed bounds the requests that are owed: under a flood of refusals the oldest are given up.
+const mostOwed = 1024
+
 // owe notes that r ended unanswered while its client goes on.
-func (c *class) owe(r *request) { c.owed = append(c.owed, r) }
+func (c *class) owe(r *request) {
+	if len(c.owed) >= mostOwed {
+		c.owed = slices.Delete(c.owed, 0, 1)
+	}
+	c.owed = append(c.owed, r)
+}
 
 type server struct {
 	Server
