Refuse nobody where no queue is reported, and take no new request for a retry

Cause: the module latched into refusing all (1.9 to 4 tries a request, all servers reporting an empty queue). A trace of each refusal with the module's figures showed two loops: - class.began took any request for a retry of one owed, as tenant and key are empty at this site; its aim then lay in the past, so it was refused and owed in turn. At 2 requests a second a sidecar that is rare, at 300 it is the rule. Retries carry the same X-Cost (312 of 312 pairs in the trace), so that is compared too. - a spell of slow answers drove the common delay to 255 ms at queue 0; all were refused, so that no answer could teach it otherwise. An empty queue no longer counts as full.

Ruled out: descriptors (227 of 384), processor (0.17 s a second of 0.25), upstreams (p50 31 ms, no errors).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -209,7 +209,7 @@
 	set := b.set(now)
 	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
 		// Work that nobody awaits any more keeps queues long for all.
-		if s := b.pick(now, r, set); s != nil && b.expected(s) > r.limit {
+		if s := b.pick(now, r, set); s != nil && b.full(r, s) {
 			b.finish(now, r, true, act)
 		} else {
 			b.send(now, r, set, act)
@@ -217,7 +217,7 @@
 		return
 	}
 	r.probed = b.renew(r, set, act)
-	good := func(s *server) bool { return b.hasMark(now, s) && b.expected(s) <= r.limit && !b.cfg.WarmKeys }
+	good := func(s *server) bool { return b.hasMark(now, s) && !b.full(r, s) && !b.cfg.WarmKeys }
 	if slices.ContainsFunc(set, good) {
 		b.send(now, r, set, act)
 		return
@@ -281,11 +281,11 @@
 			continue
 		}
 		r.replies++
-		if r.replies == len(r.probed) && b.zonal && b.expected(s) > r.limit && b.credit >= probeSample {
+		if r.replies == len(r.probed) && b.zonal && b.full(r, s) && b.credit >= probeSample {
 			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
 			continue
 		}
-		if b.expected(s) <= r.limit {
+		if !b.full(r, s) {
 			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
 			// mark under the threshold of another request's round would refuse what could be served.
 			b.threshold, s.marked, s.markedAt = s.queue, true, now
@@ -477,6 +477,13 @@
 // late reports whether r would miss its aim at s by the latest figures.
 func (b *Balancer) late(now Time, r *request, s *server) bool { return now+b.expected(s) > r.useful }
 
+// full reports whether r should rather be refused than stand in the queue of s. Where the queue is empty, refusing makes
+// nobody faster, whatever the delays so far tell: without this a spell of slow answers would have all refused for good,
+// since no further answer could tell that it is over.
+func (b *Balancer) full(r *request, s *server) bool {
+	return (s.queue >= 1 || !s.reported) && b.expected(s) > r.limit
+}
+
 // expected is the delay to expect of an answer of s: the common line of delay by reported queue,
 // times how much slower than it s has been.
 func (b *Balancer) expected(s *server) time.Duration {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -266,6 +266,10 @@
 			Request{Expires: 700 * ms, Tenant: "t", Key: "k"}, 100 * ms},
 		{"of another key", usual, []*request{owed}, 300 * ms,
 			Request{Expires: 700 * ms, Tenant: "t"}, 300 * ms},
+		{"of other work", usual, []*request{owed}, 300 * ms,
+			Request{Expires: 700 * ms, Tenant: "t", Key: "k", Cost: 1}, 300 * ms},
+		{"nothing tells them apart", usual, []*request{{began: 100 * ms}}, 300 * ms,
+			Request{Expires: 700 * ms}, 300 * ms},
 		{"too late for it", usual, []*request{owed}, 800 * ms,
 			Request{Expires: 1200 * ms, Tenant: "t", Key: "k"}, 800 * ms},
 	}
@@ -281,12 +285,33 @@
 	}
 }
 
+// TestSlowSpellEnds guards against refusing for good: after a spell of slow answers nothing but further answers can tell
+// that it is over, and there are none while all are refused.
+func TestSlowSpellEnds(t *testing.T) {
+	cfg := testConfig()
+	cfg.ProbeTariff = 1 // few probes
+	b, rec := start(t, cfg, 4)
+	for _, s := range b.ready {
+		s.reported = true // that nothing waits
+	}
+	b.delay.learn(0, float64(time.Second))
+	now := time.Second
+	for id := RequestID(1); id <= 50; id++ {
+		b.credit = 0
+		b.Request(now, Request{ID: id, Class: "safe", Expires: now + 900*time.Millisecond}, rec)
+		now += 10 * time.Millisecond
+	}
+	if got := rec.take("refuse"); len(got) > 0 {
+		t.Errorf("refused %v where no queue was reported", got)
+	}
+}
+
 // TestWorthlessTryIsFailedAtOnce guards against work for a retry of a request whose aim has passed.
 func TestWorthlessTryIsFailedAtOnce(t *testing.T) {
 	b, rec := start(t, testConfig(), 0)
-	b.Request(0, Request{ID: 1, Class: "safe", Expires: 500 * time.Millisecond}, rec)
+	b.Request(0, Request{ID: 1, Class: "safe", Cost: 7, Expires: 500 * time.Millisecond}, rec)
 	b.Timer(b.requests[1].end, token(1), rec)
-	b.Request(210*time.Millisecond, Request{ID: 2, Class: "safe", Expires: 710 * time.Millisecond}, rec)
+	b.Request(210*time.Millisecond, Request{ID: 2, Class: "safe", Cost: 7, Expires: 710 * time.Millisecond}, rec)
 	if got := rec.take("fail"); !slices.Equal(got, []string{"fail 1", "fail 2"}) {
 		t.Errorf("got %v, want both requests failed", got)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,7 +43,9 @@
 
 // began estimates when the request began of which q is a try, as few clients mark their retries. A last
 // try, which gets all the time that is left of the deadline rather than the usual, tells it exactly.
-// Another is taken for a retry of a request owed to the same tenant and key, if one could come now.
+// Another is taken for a retry of a request owed to the same tenant, with the same key and expected work, if one could
+// come now. Where neither key nor work is told nothing is taken for a retry: at a sidecar with much traffic some request
+// is always owed, and new ones taken for its retries would be refused as late, be owed in turn, and so on for ever.
 func (c *class) began(now Time, q Request, tick time.Duration) Time {
 	left := q.Expires - now
 	near := (left - c.usual).Abs() <= 2*tick
@@ -58,7 +60,7 @@
 	}
 	c.owed = slices.DeleteFunc(c.owed, func(r *request) bool { return now > r.began+c.Deadline })
 	for i, r := range c.owed {
-		if r.Tenant == q.Tenant && r.Key == q.Key && q.Expires <= r.began+c.Deadline+2*tick {
+		if r.Tenant == q.Tenant && r.Key == q.Key && r.Cost == q.Cost && (q.Key != "" || q.Cost > 0) && q.Expires <= r.began+c.Deadline+2*tick {
 			c.owed = slices.Delete(c.owed, i, i+1)
 			return r.began
 		}
