Expect delays by own requests that are out, and send a last-moment second copy

A report is old after a few sends at 300 requests a second. The delay line now learns and expects by the queue reported plus the own requests out; marks and threshold still go by the report alone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -31,6 +32,12 @@
 	lateBand = 0.4
 	// firstEject is the first ejection; each further failure in a row doubles it, up to the ramp time.
 	firstEject = 500 * time.Millisecond
+	// hedgeShare is the part of requests that may have a second copy sent while the first is out, and mostHedges how
+	// many of them may come at once. What the copies cost must stay small where all are slow.
+	hedgeShare = 0.03
+	mostHedges = 10
+	// slowShare times the delay expected of it makes an answer slow.
+	slowShare = 2
 	// smooth is the weight of a new sample in moving averages: about the last ten count.
 	smooth = 0.1
 )
@@ -52,6 +59,7 @@
 	markLife  time.Duration // marks older than this have gone stale
 	busy      float64       // share of probes that found a request waiting
 	credit    float64       // probes that the traffic so far has paid for
+	hedges    float64       // second copies that the traffic so far has paid for
 
 	delay delayModel // of answers by the reported queue
 
@@ -104,13 +112,10 @@
 	}
 	for _, e := range entries {
 		s := b.servers[e.ID]
-		if s == nil {
+		if s == nil || e.Started != s.Started { // a restarted process owes nothing to its past
 			s = &server{slowness: 1}
 			b.servers[e.ID] = s
 		}
-		if e.Started != s.Started {
-			*s = server{slowness: 1} // a restarted process owes nothing to its past
-		}
 		s.Server = e
 	}
 	b.rebuild()
@@ -329,6 +334,7 @@
 	a := &r.attempts[o.Attempt]
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
+	a.server.out--
 	r.ended = r.ended || o.Closed
 	if o.Status == OK || o.Status == Timeout {
 		if at := b.delay.at(a.queue); at > 0 {
@@ -386,7 +392,7 @@
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
 func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.rng.Float64() >= w {
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || s.queue >= 1 || b.rng.Float64() >= w {
 		return nil
 	}
 	return s
@@ -406,11 +412,16 @@
 		s = c
 	}
 	s.marked = false
-	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: s.queue}
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s)}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	s.out++
 	if len(r.attempts) == 1 {
 		b.earn(1 - refusedShare)
+		b.hedges = min(b.hedges+hedgeShare, mostHedges)
+		if b.cfg.MayDuplicate && r.class.Effect != Unsafe {
+			act.SetTimer(max(b.cfg.Tick, slowShare*b.expected(s), r.useful-now-b.expected(s)), hedgeToken+token(r.ID))
+		}
 	}
 	s.used, s.open = now, true
 	b.sweep(now, act)
@@ -418,6 +429,23 @@
 	return true
 }
 
+// hedge sends a second copy of r, whose answer is slow, where it can be expected in time and nothing waits. It guards
+// against servers that are silent, paused or stuck, whatever the reason; it might do harm where all are slow alike, and
+// so is bounded by a share of the traffic and kept from queues.
+func (b *Balancer) hedge(now Time, r *request, act Actions) {
+	if r.ended || r.stream || r.out != 1 || b.hedges < 1 {
+		return
+	}
+	idle := slices.DeleteFunc(b.set(now), func(s *server) bool {
+		return s.queue >= 1 || now+b.expected(s) > r.useful || b.warmth(now, s) < 1
+	})
+	if b.pick(now, r, idle) == nil {
+		return
+	}
+	b.hedges--
+	b.send(now, r, idle, act)
+}
+
 // sweep hangs up connections that cost more to hold than to open anew. An open one costs
 // ConnectionTariff/100 of a server's share, a handshake HandshakeTariff of a request's: they balance
 // after 100 x HandshakeTariff/ConnectionTariff requests of a server, whose rate follows by Little's
@@ -484,14 +512,20 @@
 	return (s.queue >= 1 || !s.reported) && b.expected(s) > r.limit
 }
 
-// expected is the delay to expect of an answer of s: the common line of delay by reported queue,
-// times how much slower than it s has been.
+// expected is the delay to expect of an answer of s: the common line of delay by requests standing there, times how much
+// slower than it s has been.
 func (b *Balancer) expected(s *server) time.Duration {
-	q := s.queue
+	return time.Duration(min(b.delay.at(b.standing(s))*s.slowness, float64(time.Hour)))
+}
+
+// standing is how many requests a further one at s would stand among, as far as this sidecar can tell: those that the
+// latest report told waiting and its own that are out. At a sidecar with much traffic a report is old after a few sends;
+// at one with little the sum is the report. Marks and threshold go by the report alone.
+func (b *Balancer) standing(s *server) float64 {
 	if !s.reported {
-		q = b.delay.queue
+		return max(b.delay.queue, float64(s.out))
 	}
-	return time.Duration(min(b.delay.at(q)*s.slowness, float64(time.Hour)))
+	return s.queue + float64(s.out)
 }
 
 // warmth is the least share of its capacity that s has at now.
@@ -596,9 +630,12 @@
 		b.sweep(now, act)
 		return
 	}
-	id, _ := strconv.ParseUint(tok, 36, 64)
+	digits, hedge := strings.CutPrefix(tok, hedgeToken)
+	id, _ := strconv.ParseUint(digits, 36, 64)
 	r := b.requests[RequestID(id)]
 	switch {
+	case r != nil && hedge:
+		b.hedge(now, r, act)
 	case r == nil || r.ended || r.stream:
 	case now >= r.end:
 		b.finish(now, r, false, act)
--- a/policy/state.go
+++ b/policy/state.go
@@ -90,6 +90,7 @@
 	markedAt Time
 	fails    int // failures in a row
 	lastOK   Time
+	out      int     // own attempts that are out
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
@@ -165,6 +166,9 @@
 	stream   bool // the answer has begun; the client has it
 }
 
+// hedgeToken begins the token of the timer that tells that an answer is slow.
+const hedgeToken = "h:"
+
 func token(id RequestID) string { return strconv.FormatUint(uint64(id), 36) }
 
 // byHash sorts servers by a hash of their ID and salt.
