Draw first the servers that would safely answer in time; decide held requests with their replies

Cause: 9% late with a median of 40 ms under an aim of 150. A server counted as in time up to an expected delay of the whole aim, so that the uniform draw filled the slow ones until half of their answers were late. Those for which twice the delay expected fits are now drawn first, then those that just fit. A held request waited out its patience (100 ms) although all its probes had replied, and was refused if they were lost; it is now decided with the last reply. The random test also found 0*Inf in the delay line: a server that had timed out counted as near while the line was flat.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,9 @@
 	mostHedges = 10
 	// slowShare times the delay expected of it makes an answer slow.
 	slowShare = 2
+	// safeShare times the delay expected of a server must fit into the aim for it to be drawn before others: answers
+	// scatter about what is expected, so that half of those that just fit would be late.
+	safeShare = 2
 	// smooth is the weight of a new sample in moving averages: about the last ten count.
 	smooth = 0.1
 )
@@ -266,11 +269,13 @@
 	}
 	if p.Status != OK {
 		b.failed(now, s, p.Status)
+		b.replied(now, s, false, act)
 		return
 	}
 	s.fails, s.lastOK = 0, now
 	q := queueOf(p.Load)
 	if q < 0 {
+		b.replied(now, s, false, act)
 		return
 	}
 	b.busy += smooth * (min(q, 1) - b.busy)
@@ -281,16 +286,23 @@
 		}
 	}
 	b.report(now, s, p.Load)
+	b.replied(now, s, true, act)
+}
+
+// replied hands a reply of s to the requests that are held for it: the first for which s is good goes there. One that has
+// had all its replies waits no longer.
+func (b *Balancer) replied(now Time, s *server, told bool, act Actions) {
+	var done []*request
 	for i, r := range b.held {
 		if !slices.Contains(r.probed, s) {
 			continue
 		}
 		r.replies++
-		if r.replies == len(r.probed) && b.zonal && b.full(r, s) && b.credit >= probeSample {
+		if r.replies == len(r.probed) && b.zonal && (!told || b.full(r, s)) && b.credit >= probeSample {
 			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
 			continue
 		}
-		if !b.full(r, s) {
+		if told && !b.full(r, s) {
 			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
 			// mark under the threshold of another request's round would refuse what could be served.
 			b.threshold, s.marked, s.markedAt = s.queue, true, now
@@ -299,6 +311,27 @@
 			b.send(now, r, []*server{s}, act)
 			break
 		}
+		if r.replies >= len(r.probed) {
+			done = append(done, r)
+		}
+	}
+	for _, r := range done {
+		b.decide(now, r, act)
+	}
+}
+
+// decide ends the wait of a request that is held: it goes where it can be expected in time, or else is refused.
+func (b *Balancer) decide(now Time, r *request, act Actions) {
+	set := b.set(now)
+	s := b.pick(now, r, set)
+	if s != nil && b.full(r, s) {
+		b.finish(now, r, true, act)
+		return
+	}
+	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	r.patience = 0
+	if !b.send(now, r, set, act) {
+		b.finish(now, r, true, act)
 	}
 }
 
@@ -419,8 +452,9 @@
 	if len(r.attempts) == 1 {
 		b.earn(1 - refusedShare)
 		b.hedges = min(b.hedges+hedgeShare, mostHedges)
-		if b.cfg.MayDuplicate && r.class.Effect != Unsafe {
-			act.SetTimer(max(b.cfg.Tick, slowShare*b.expected(s), r.useful-now-b.expected(s)), hedgeToken+token(r.ID))
+		wait := max(b.cfg.Tick, slowShare*b.expected(s), r.useful-now-b.expected(s))
+		if b.cfg.MayDuplicate && r.class.Effect != Unsafe && now+wait < r.useful {
+			act.SetTimer(wait, hedgeToken+token(r.ID))
 		}
 	}
 	s.used, s.open = now, true
@@ -467,27 +501,32 @@
 	}
 }
 
-// pick draws a marked server of set at random, or else a server uniformly: of those that would answer
-// in time, if there are any, since a slow server that takes its even share collects an endless queue.
+// pick draws a marked server of set at random, or else a server uniformly: of those that would safely answer in time, or
+// else just so, if there are any, since a slow server that takes its even share collects an endless queue.
 func (b *Balancer) pick(now Time, r *request, set []*server) *server {
-	var marked, all, late []*server
+	var marked, safe, all, late []*server
 	for _, s := range set {
 		tried := slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.server == s })
-		if !tried && b.maySend(now, r, s) && b.thin(now, r, s) {
-			if b.late(now, r, s) {
-				late = append(late, s)
-				continue
-			}
-			all = append(all, s)
-			if b.hasMark(now, s) {
-				marked = append(marked, s)
-			}
+		if tried || !b.maySend(now, r, s) || !b.thin(now, r, s) {
+			continue
+		}
+		if b.late(now, r, s) {
+			late = append(late, s)
+			continue
+		}
+		all = append(all, s)
+		if now+safeShare*b.expected(s) > r.useful {
+			continue
+		}
+		safe = append(safe, s)
+		if b.hasMark(now, s) {
+			marked = append(marked, s)
 		}
 	}
 	if len(r.attempts) > 0 {
 		late = nil // a further attempt that would be late as well only feeds the overload
 	}
-	for _, from := range [][]*server{marked, all, late} {
+	for _, from := range [][]*server{marked, safe, all, late} {
 		if len(from) > 0 {
 			return from[b.rng.IntN(len(from))]
 		}
@@ -640,7 +679,7 @@
 	case now >= r.end:
 		b.finish(now, r, false, act)
 	case r.patience > 0 && now >= r.patience:
-		b.finish(now, r, true, act)
+		b.decide(now, r, act)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -125,6 +125,9 @@
 // at is the delay to expect at a reported queue. Until queues have varied by a request or so the
 // slope is that of assumedCores.
 func (m *delayModel) at(queue float64) float64 {
+	if math.IsInf(queue, 1) {
+		return queue // also where the line is flat: zero times infinity is no number
+	}
 	prior := m.delay / (1 + m.queue/assumedCores) / assumedCores
 	slope := max(0, (m.covariance+prior)/(m.variance+1))
 	return max(m.delay+slope*(queue-m.queue), m.delay/4)
