--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -197,21 +197,22 @@
 func (s *server) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, least := range []time.Duration{freshTime, 0} {
-		for kind := range s.quiet {
-			for e := s.quiet[kind].Front(); e != nil; e = e.Next() {
-				c := e.Value.(*clientConn)
-				if time.Since(c.since) < least {
-					break
-				}
-				if !quiet(c.Conn) { // a request has come, or the end, and its goroutine is about to see it
-					continue
-				}
-				s.quiet[kind].Remove(e)
-				c.place = nil
-				c.Close()
-				return true
+	for _, of := range []struct {
+		kind  int
+		least time.Duration
+	}{{fresh, freshTime}, {idle, 0}, {fresh, 0}} {
+		for e := s.quiet[of.kind].Front(); e != nil; e = e.Next() {
+			c := e.Value.(*clientConn)
+			if time.Since(c.since) < of.least {
+				break
 			}
+			if !quiet(c.Conn) { // a request has come, or the end, and its goroutine is about to see it
+				continue
+			}
+			s.quiet[of.kind].Remove(e)
+			c.place = nil
+			c.Close()
+			return true
 		}
 	}
 	return false
