Count a server as full at twice the delay expected

Answers scatter about what is expected, so that under overload half of those let in at the limit came late and had cost as much as timely ones.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -548,7 +548,7 @@
 // nobody faster, whatever the delays so far tell: without this a spell of slow answers would have all refused for good,
 // since no further answer could tell that it is over.
 func (b *Balancer) full(r *request, s *server) bool {
-	return (s.queue >= 1 || !s.reported) && b.expected(s) > r.limit
+	return (s.queue >= 1 || !s.reported) && 2*b.expected(s) > r.limit
 }
 
 // expected is the delay to expect of an answer of s: the common line of delay by requests standing there, times how much
