Leave silent servers alone, and count a server as full by a margin that grows with the load

A server that has said nothing for three times the usual delay while two or more attempts or probes are out there gets nothing new, a time-out there ejects it, and requests that wait for it may be sent again beyond the share of second copies.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,9 @@
 	// safeShare times the delay expected of a server must fit into the aim for it to be drawn before others: answers
 	// scatter about what is expected, so that half of those that just fit would be late.
 	safeShare = 2
+	// silentShare times the usual delay of answers without any word from a server, while something of this sidecar's is
+	// out there, make it silent.
+	silentShare = 3
 	// smooth is the weight of a new sample in moving averages: about the last ten count.
 	smooth = 0.1
 )
@@ -217,14 +220,10 @@
 	set := b.set(now)
 	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
 		// Work that nobody awaits any more keeps queues long for all.
-		if s := b.pick(now, r, set); s != nil && b.full(r, s) {
-			b.finish(now, r, true, act)
-		} else {
-			b.send(now, r, set, act)
-		}
+		b.place(now, r, set, act)
 		return
 	}
-	r.probed = b.renew(r, set, act)
+	r.probed = b.renew(now, r, set, act)
 	good := func(s *server) bool { return b.hasMark(now, s) && !b.full(r, s) && !b.cfg.WarmKeys }
 	if slices.ContainsFunc(set, good) {
 		b.send(now, r, set, act)
@@ -246,7 +245,7 @@
 // requests, so that sidecars that send little neither probe in vain nor keep a clock.
 // Where servers do less work for a key they met lately, the round asks the key's homes instead: the d
 // servers that rendezvous hashing puts first.
-func (b *Balancer) renew(r *request, set []*server, act Actions) []*server {
+func (b *Balancer) renew(now Time, r *request, set []*server, act Actions) []*server {
 	set = slices.Clone(set)
 	b.rng.Shuffle(len(set), func(i, j int) { set[i], set[j] = set[j], set[i] })
 	if b.cfg.WarmKeys && r.Key != "" {
@@ -256,6 +255,8 @@
 	b.credit -= probeSample
 	b.newRound = true
 	for _, s := range set {
+		s.ask(now)
+		s.probes++
 		act.Probe(s.ID)
 	}
 	return set
@@ -267,8 +268,11 @@
 	if s == nil {
 		return
 	}
+	s.probes = max(0, s.probes-1)
+	silent := b.silent(now, s)
+	s.hear(now, p.Status)
 	if p.Status != OK {
-		b.failed(now, s, p.Status)
+		b.failed(now, s, p.Status, silent)
 		b.replied(now, s, false, act)
 		return
 	}
@@ -299,7 +303,7 @@
 		}
 		r.replies++
 		if r.replies == len(r.probed) && b.zonal && (!told || b.full(r, s)) && b.credit >= probeSample {
-			r.probed = b.renew(r, b.ready[b.setSize:], act) // the own zone is full: look abroad
+			r.probed = b.renew(now, r, b.ready[b.setSize:], act) // the own zone is full: look abroad
 			continue
 		}
 		if told && !b.full(r, s) {
@@ -322,15 +326,14 @@
 
 // decide ends the wait of a request that is held: it goes where it can be expected in time, or else is refused.
 func (b *Balancer) decide(now Time, r *request, act Actions) {
-	set := b.set(now)
-	s := b.pick(now, r, set)
-	if s != nil && b.full(r, s) {
-		b.finish(now, r, true, act)
-		return
-	}
 	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 	r.patience = 0
-	if !b.send(now, r, set, act) {
+	b.place(now, r, b.set(now), act)
+}
+
+// place sends r to a server of set, or refuses it if one drawn is full for it.
+func (b *Balancer) place(now Time, r *request, set []*server, act Actions) {
+	if s := b.pick(now, r, set); s != nil && b.full(r, s) || !b.send(now, r, set, act) {
 		b.finish(now, r, true, act)
 	}
 }
@@ -356,7 +359,7 @@
 		if o.Status == OK {
 			s.fails, s.lastOK = 0, now
 		} else {
-			b.failed(now, s, o.Status)
+			b.failed(now, s, o.Status, b.silent(now, s))
 		}
 		b.report(now, s, o.Load)
 	}
@@ -368,6 +371,7 @@
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
 	a.server.out--
+	a.server.hear(now, o.Status)
 	r.ended = r.ended || o.Closed
 	if o.Status == OK || o.Status == Timeout {
 		if at := b.delay.at(a.queue); at > 0 {
@@ -385,8 +389,9 @@
 }
 
 // failed notes evidence against a server: it is left out of the ready set for a while that grows
-// with failures in a row. Guards against servers that err at once and so keep a short queue.
-func (b *Balancer) failed(now Time, s *server, st Status) {
+// with failures in a row. Guards against servers that err at once and so keep a short queue. A time-out counts only if the
+// server had been silent altogether, or if others have gone before and nothing good came between: else it may be the load.
+func (b *Balancer) failed(now Time, s *server, st Status, silent bool) {
 	s.marked = false
 	switch st {
 	case Canceled, Moot:
@@ -395,12 +400,19 @@
 		s.queue = math.Inf(1) // until it reports again
 	}
 	s.fails, b.busy = s.fails+1, 1
-	if st == Full || st == Timeout && (s.fails < 3 || now-s.lastOK < time.Second) {
+	if st == Full || st == Timeout && !silent && (s.fails < 3 || now-s.lastOK < time.Second) {
 		return // may be the load: see set
 	}
 	s.ejected = now + min(firstEject<<min(s.fails-1, 10), max(b.cfg.Ramp, firstEject))
 }
 
+// silent reports whether s has said nothing at all for so long, while something of this sidecar's was out there, that it
+// should be left alone until it does. It guards against machines that vanish, are cut off or stand still: their
+// connections stay open, and the list tells of them only much later. One thing out is not enough, as it may just be slow.
+func (b *Balancer) silent(now Time, s *server) bool {
+	return s.out+s.probes > 1 && b.delay.delay > 0 && float64(now-s.asked) > silentShare*b.delay.delay
+}
+
 // set returns the ready set: the first servers in order of preference that are not ejected. When
 // more than half of all are ejected the evidence is against the network or the load, not
 // against servers, and ejections are ignored.
@@ -410,6 +422,8 @@
 	for _, s := range b.ready {
 		if s.ejected > now {
 			bad++
+		} else if b.silent(now, s) {
+			continue
 		} else if len(set) < b.setSize && b.warmth(now, s) == 1 {
 			set = append(set, s)
 		}
@@ -425,7 +439,7 @@
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
 func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || s.queue >= 1 || b.rng.Float64() >= w {
+	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.silent(now, s) || s.queue >= 1 || b.rng.Float64() >= w {
 		return nil
 	}
 	return s
@@ -448,6 +462,7 @@
 	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s)}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	s.ask(now)
 	s.out++
 	if len(r.attempts) == 1 {
 		b.earn(1 - refusedShare)
@@ -467,13 +482,14 @@
 // against servers that are silent, paused or stuck, whatever the reason; it might do harm where all are slow alike, and
 // so is bounded by a share of the traffic and kept from queues.
 func (b *Balancer) hedge(now Time, r *request, act Actions) {
-	if r.ended || r.stream || r.out != 1 || b.hedges < 1 {
+	if r.ended || r.stream || r.out != 1 {
 		return
 	}
+	silent := slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && b.silent(now, a.server) })
 	idle := slices.DeleteFunc(b.set(now), func(s *server) bool {
-		return s.queue >= 1 || now+b.expected(s) > r.useful || b.warmth(now, s) < 1
+		return !silent && s.queue >= 1 || now+b.expected(s) > r.useful || b.warmth(now, s) < 1
 	})
-	if b.pick(now, r, idle) == nil {
+	if b.hedges < 1 && !silent || b.pick(now, r, idle) == nil {
 		return
 	}
 	b.hedges--
@@ -548,7 +564,9 @@
 // nobody faster, whatever the delays so far tell: without this a spell of slow answers would have all refused for good,
 // since no further answer could tell that it is over.
 func (b *Balancer) full(r *request, s *server) bool {
-	return (s.queue >= 1 || !s.reported) && 2*b.expected(s) > r.limit
+	// Answers scatter: where many wait, half of those let in at the very limit would come late and cost as much.
+	margin := 1 + b.busy*b.busy
+	return (s.queue >= 1 || !s.reported) && margin*float64(b.expected(s)) > float64(r.limit)
 }
 
 // expected is the delay to expect of an answer of s: the common line of delay by requests standing there, times how much
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -208,7 +208,7 @@
 	b, rec := start(t, testConfig(), 4)
 	s := b.servers["s0"]
 	s.marked = true
-	b.failed(0, s, AppError)
+	b.failed(0, s, AppError, false)
 	if s.marked || slices.Contains(b.set(0), s) {
 		t.Error("a server that erred is still marked or in the ready set")
 	}
@@ -216,7 +216,7 @@
 		t.Error("the ejection does not end")
 	}
 	for _, id := range sortedKeys(b.servers) {
-		b.failed(0, b.servers[id], ConnectFailed)
+		b.failed(0, b.servers[id], ConnectFailed, false)
 	}
 	if got := b.set(0); len(got) != b.setSize {
 		t.Errorf("with all ejected the ready set has %d servers, want %d", len(got), b.setSize)
@@ -224,6 +224,34 @@
 	rec.take("")
 }
 
+// TestSilentServer guards against sending to a machine that has vanished: nothing ends the attempts there until their
+// time is up, and the list tells of it much later.
+func TestSilentServer(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.delay.learn(0, float64(10*time.Millisecond))
+	s := b.ready[0]
+	s.reported = true
+	for id := RequestID(1); id <= 3; id++ {
+		r := &request{Request: Request{ID: id, Expires: time.Minute}, class: b.classes["safe"], end: time.Second}
+		b.requests[id] = r
+		b.send(0, r, []*server{s}, rec)
+	}
+	if !slices.Contains(b.set(20*time.Millisecond), s) {
+		t.Error("left alone although no more than the usual time has passed")
+	}
+	if slices.Contains(b.set(40*time.Millisecond), s) {
+		t.Error("still in the ready set after a long silence")
+	}
+	b.Outcome(50*time.Millisecond, Outcome{ID: 1, Server: s.ID, Status: OK, Closed: true}, rec)
+	if !slices.Contains(b.set(60*time.Millisecond), s) {
+		t.Error("left alone although it has answered")
+	}
+	b.Outcome(time.Second, Outcome{ID: 2, Server: s.ID, Status: Timeout}, rec)
+	if s.ejected <= time.Second {
+		t.Error("a time-out after a long silence is no reason to eject it")
+	}
+}
+
 // TestHeldRequest guards against refusing what nothing tells to be late, where probes are lost, and against sending into
 // queues that are known to be long, or waiting on once all replies are in.
 func TestHeldRequest(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -91,12 +91,30 @@
 	fails    int // failures in a row
 	lastOK   Time
 	out      int     // own attempts that are out
+	probes   int     // that are out
+	asked    Time    // since when something is out without a word from it
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
 	ejected  Time
 }
 
+// ask notes that an attempt or a probe is about to go to s.
+func (s *server) ask(now Time) {
+	if s.out+s.probes == 0 {
+		s.asked = now
+	}
+}
+
+// hear notes the end of an attempt or a probe, if it tells that s is there.
+func (s *server) hear(now Time, st Status) {
+	switch st {
+	case Timeout, ConnectFailed, Canceled, Moot:
+	default:
+		s.asked = now
+	}
+}
+
 // assumedCores is how many requests a server works on at once, which is not told, until the
 // answers have taught the slope: two is the least that has any.
 const assumedCores = 2
