Tell refused clients when to come back; ask discovery without a list; let interim answers come early

- A sidecar with no known list never asked discovery, and one with pushed lists never asked its agent.
- The limit on an answer's time ran from a 1xx answer, so that a long request behind an early one would be cut off.
- The program's signals are tested: SIGHUP with a bad and a good configuration, SIGTERM.

Found by reading; the loopback tests failed before.

--- /dev/null
+++ b/cmd/cairnpick/main_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience is how long the test waits for what must come.
+const patience = 20 * time.Second
+
+// TestSignals guards against ending on SIGHUP, be the new configuration good or bad, and for the order in which it ends
+// on SIGTERM. The program shows that it goes on by asking where the file says that discovery is.
+func TestSignals(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		t.Helper()
+		text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,
+			"settings":{"GroupSize":1,"Limits":{"SendCap":1},"Safety":{"AskEveryUs":1000000}}}`, discovery)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asked := func(ln net.Listener) {
+		t.Helper()
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatalf("discovery was not asked: %v", err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	discovery := make([]net.Listener, 2)
+	for i := range discovery {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		discovery[i] = ln
+	}
+	signal := func(s syscall.Signal) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	write(discovery[0].Addr().String())
+	t.Setenv("GW_CONFIG", path)
+	t.Setenv("GW_DISCOVERY", discovery[0].Addr().String()) // stays what it was
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	asked(discovery[0])
+
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	signal(syscall.SIGHUP)
+	write(discovery[1].Addr().String())
+	signal(syscall.SIGHUP)
+	asked(discovery[1])
+
+	signal(syscall.SIGTERM)
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("still there after SIGTERM")
+	}
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -72,7 +72,9 @@
 }
 
 func newHost(ctx context.Context, cfg Config, up *upstreams, log *slog.Logger) (*host, error) {
-	b, err := policy.New(cfg.Settings.Config, cfg.Seed)
+	module := cfg.Settings.Config
+	module.Pushed = false // on sockets the agent that has what was pushed must be asked too
+	b, err := policy.New(module, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -92,9 +94,11 @@
 	h.ids = newOpenIDs(h.longest)
 	h.alarm = time.AfterFunc(longAgo, h.ring)
 	h.alarm.Stop()
-	if cfg.Known != nil {
-		h.event(func(now policy.Time) { h.members(now, policy.ListCached, cfg.Known) })
+	known := cfg.Known
+	if known == nil {
+		known = &list{Seq: new(int64)} // nothing is known: discovery is to be asked all the same
 	}
+	h.event(func(now policy.Time) { h.members(now, policy.ListCached, known) })
 	return h, nil
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -352,6 +352,9 @@
 			c.budget = 2 * mostBody // chunks have some bytes beside the body's
 			return resp, nil
 		}
+		if c.begun = c.r.Buffered() > 0; !c.begun { // the final answer is still to begin, and may take its time
+			c.SetReadDeadline(c.deadline)
+		}
 	}
 	return nil, errors.New("too many interim answers")
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -564,9 +564,26 @@
 // nobody faster, whatever the delays so far tell: without this a spell of slow answers would have all refused for good,
 // since no further answer could tell that it is over.
 func (b *Balancer) full(r *request, s *server) bool {
-	// Answers scatter: where many wait, half of those let in at the very limit would come late and cost as much.
-	margin := 1 + b.busy*b.busy
-	return (s.queue >= 1 || !s.reported) && margin*float64(b.expected(s)) > float64(r.limit)
+	return (s.queue >= 1 || !s.reported) && b.feared(s) > r.limit
+}
+
+// feared is the delay of s to reckon with: answers scatter about what is expected, so that where many wait, half of those
+// let in at the very limit would come late and cost as much.
+func (b *Balancer) feared(s *server) time.Duration {
+	return time.Duration(min((1+b.busy*b.busy)*float64(b.expected(s)), float64(time.Hour)))
+}
+
+// comeBack is how long the client of a refused request had better wait: until the queue by which it could first be
+// served will have shrunk to its limit.
+func (b *Balancer) comeBack(now Time, r *request) time.Duration {
+	if !b.cfg.HintsRetry {
+		return 0
+	}
+	wait := b.cfg.MaxRetryAfter
+	for _, s := range b.set(now) {
+		wait = min(wait, max(b.cfg.Tick, b.feared(s)-r.limit))
+	}
+	return wait
 }
 
 // expected is the delay to expect of an answer of s: the common line of delay by requests standing there, times how much
@@ -633,7 +650,7 @@
 		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 	}
 	if retry && mayRefuse(r) {
-		act.Refuse(r.ID, 0)
+		act.Refuse(r.ID, b.comeBack(now, r))
 	} else {
 		act.Fail(r.ID)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -252,6 +252,23 @@
 	}
 }
 
+// TestComeBack guards against clients that ask again at once while nothing has changed.
+func TestComeBack(t *testing.T) {
+	cfg := testConfig()
+	cfg.HintsRetry, cfg.MaxRetryAfter = true, 300*time.Millisecond
+	b, _ := start(t, cfg, 4)
+	b.delay.learn(0, float64(100*time.Millisecond))
+	b.busy = 0
+	r := &request{limit: 90 * time.Millisecond}
+	if got := b.comeBack(0, r); got != 10*time.Millisecond {
+		t.Errorf("told to come back after %v, want the 10ms by which the queue is over the limit", got)
+	}
+	r.limit = -time.Hour
+	if got := b.comeBack(0, r); got != cfg.MaxRetryAfter {
+		t.Errorf("told to come back after %v, want no more than %v", got, cfg.MaxRetryAfter)
+	}
+}
+
 // TestHeldRequest guards against refusing what nothing tells to be late, where probes are lost, and against sending into
 // queues that are known to be long, or waiting on once all replies are in.
 func TestHeldRequest(t *testing.T) {
