Let only its own goroutine close a client's connection, so that no request read is lost

Cause: evict and drain in server.go asked the kernel whether a request had come, and closed what looked quiet. Bytes that await had just put into the connection's buffer are no longer in the kernel, and place stayed set until setBusy had the lock, so that such a connection was closed with a request read and no answer. Now evict and drain make the read of a quiet connection end (dismiss); its goroutine looks once more, serves what has come, and else closes. The same serves a request that comes at the very end of firstByteTime, or that lies in the buffer when a drain begins (setIdle).

Confirmed by TestRequestReadBeforeClose over loopback sockets, which closes right after each read: without the change both cases fail with a close and no answer.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -41,7 +42,8 @@
 )
 
 // server owns the connections of clients. Each has one goroutine, which reads a request, waits for its final answer
-// and writes it. The server reads from sockets itself, rather than through net/http's, because that hides what the
+// and writes it. It alone closes the connection: no one else can tell whether it has just read a request, which would
+// be lost. Who wants a connection closed makes its read end instead (see dismiss). The server reads from sockets itself, rather than through net/http's, because that hides what the
 // rules need: whether a head had both a length and a transfer encoding, and whether a connection has sent nothing.
 type server struct {
 	host    *host
@@ -120,8 +122,7 @@
 func (s *server) serve(c *clientConn) {
 	defer s.drop(c)
 	pause := firstPause
-	for c.reader.await() == nil && s.setBusy(c) {
-		c.SetDeadline(time.Now().Add(requestTime))
+	for s.await(c) {
 		q, err := c.reader.read(c, s.room)
 		if err != nil {
 			s.reject(c, err)
@@ -154,44 +155,58 @@
 	c.SetDeadline(c.since.Add(wait))
 }
 
-// setIdle notes that c waits for its next request, and reports whether there may be one.
+// setIdle notes that c waits for its next request, and reports whether there may be one. One that has been read already
+// is still answered while the server drains.
 func (s *server) setIdle(c *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.draining && c.reader.r.Buffered() == 0 {
 		return false
 	}
 	s.setQuiet(c, idle)
 	return true
 }
 
-// setBusy notes that a request has begun to come on c, and reports whether c is still there: one that was closed to
-// make room for another is not.
-func (s *server) setBusy(c *clientConn) bool {
+// await waits for a request to begin to come on c, and reports whether one has: even one that came at the very end of
+// the wait, or after c was dismissed.
+func (s *server) await(c *clientConn) bool {
+	err := c.reader.await()
+	come := err == nil || errors.Is(err, os.ErrDeadlineExceeded) && !quiet(c.Conn)
+	s.setBusy(c)
+	c.SetDeadline(time.Now().Add(requestTime))
+	return come
+}
+
+// setBusy notes that c is quiet no more: from here on it cannot be dismissed.
+func (s *server) setBusy(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.place == nil {
-		return false
+	if c.place != nil {
+		s.quiet[c.kind].Remove(c.place)
+		c.place = nil
 	}
+}
+
+// dismiss makes the goroutine of c, which is quiet, close it unless a request has come. It guards against closing a
+// connection of which that goroutine has just read a request, so that nothing of it shows in the kernel any more.
+// Until the goroutine runs the descriptor stays taken. The caller holds mu.
+func (s *server) dismiss(c *clientConn) {
 	s.quiet[c.kind].Remove(c.place)
 	c.place = nil
-	return true
+	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // drop closes c and forgets it.
 func (s *server) drop(c *clientConn) {
 	c.Close()
+	s.setBusy(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.place != nil {
-		s.quiet[c.kind].Remove(c.place)
-		c.place = nil
-	}
 	delete(s.conns, c)
 	s.done.Done()
 }
 
-// evict closes a connection without a request to make room for another, and reports whether there was one: the oldest
+// evict dismisses a connection without a request to make room for another, and reports whether there was one: the oldest
 // that never sent anything, else the one idle longest. It guards against clients that hold descriptors for nothing,
 // whatever their reason; where all are in use it takes from those that would have asked again, who then connect anew.
 func (s *server) evict() bool {
@@ -209,28 +224,22 @@
 			if !quiet(c.Conn) { // a request has come, or the end, and its goroutine is about to see it
 				continue
 			}
-			s.quiet[of.kind].Remove(e)
-			c.place = nil
-			c.Close()
+			s.dismiss(c)
 			return true
 		}
 	}
 	return false
 }
 
-// drain makes connections close with their next answer, and closes those that are idle: a request that crosses that
+// drain makes connections close with their next answer, and dismisses those that are idle: a request that crosses that
 // comes again on a new connection.
 func (s *server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
 	for e := s.quiet[idle].Front(); e != nil; {
-		next, c := e.Next(), e.Value.(*clientConn)
-		if quiet(c.Conn) {
-			s.quiet[idle].Remove(e)
-			c.place = nil
-			c.Close()
-		}
+		next := e.Next()
+		s.dismiss(e.Value.(*clientConn))
 		e = next
 	}
 	for e := s.quiet[fresh].Front(); e != nil; e = e.Next() {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -604,3 +604,72 @@
 		t.Errorf("got %v, want errNoSocket", err)
 	}
 }
+
+// hookListener gives connections that call after once they have read something, before their reader gets it.
+type hookListener struct {
+	net.Listener
+	after func()
+}
+
+func (l *hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookConn{c.(*net.TCPConn), l.after}, nil
+}
+
+type hookConn struct {
+	*net.TCPConn
+	after func()
+}
+
+func (c *hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.after()
+	}
+	return n, err
+}
+
+// TestRequestReadBeforeClose guards against closing a connection, for want of descriptors or to drain, of which a
+// request has just been read: the kernel has nothing more of it, and the client takes it for lost.
+func TestRequestReadBeforeClose(t *testing.T) {
+	for name, closing := range map[string]func(*server){
+		"evict": func(s *server) { s.evict() },
+		"drain": func(s *server) { s.drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := New(config(t, "127.0.0.1:1", 256, listOf(t, startUpstream(t, echo))), slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.stop()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var hooked atomic.Bool
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				s.server.accept(ctx, &hookListener{ln, func() {
+					if hooked.Load() {
+						closing(s.server)
+					}
+				}})
+			}()
+			c := (&running{addr: ln.Addr().String()}).dial(t)
+			for _, id := range []string{"first", "next"} {
+				if status, body := c.ask(t, get(id)); status != 200 || body != id {
+					t.Errorf("%s: got %d %q", id, status, body)
+				}
+				hooked.Store(true)
+			}
+			cancel()
+			ln.Close()
+			<-ended
+		})
+	}
+}
