Take a client's short patience for what it is: neither a late last try nor evidence against servers

Three wrong beliefs followed. - began (state.go) took each for the last try of a request that began a deadline before its end, so that its aim had passed before it came: late everywhere, refused wherever anything waited. Now only where a request is owed that began then; what ended with its client's patience is owed too. - Request (policy.go) let useful go by the aim alone, past the end of the client's patience, so that such requests went to servers that could not answer in time (18% of attempts timed out, on all servers alike). - Outcome took these time-outs for evidence: the server full until it reports again, load at its highest (so refusals of others), and the short wait learnt as its delay. Now a time-out under slowShare of the delay expected tells nothing.

Ruled out: silent upstreams (each answered others within 60 ms all the while; no connection waited over 0.2 s), want of descriptors (no wait over 2 ms), the processor (0.06 to 0.15 of 0.25 cores).

TestHastyClients (loopback sockets) fails without the change: 7 to 9 of 20 such requests go to the upstream that is too slow for them.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -673,3 +673,39 @@
 		})
 	}
 }
+
+// TestHastyClients guards against sending a request where its answer cannot be expected while its client waits: because
+// only the class's aim counts, or because one of little patience is taken for the last, late try of an older one.
+func TestHastyClients(t *testing.T) {
+	const hasty = 250 * time.Millisecond
+	fast := startUpstream(t, echo)
+	slow := startUpstream(t, func(q *http.Request, b []byte) string {
+		time.Sleep(2 * hasty) // more makes no difference
+		return echo(q, b)
+	})
+	cfg := config(t, "127.0.0.1:1", 256, listOf(t, fast, slow))
+	cfg.Settings.Config.Classes[0].Aim = 2 * hasty
+	s := start(t, cfg)
+	for i, calm := 0, 0; calm < 3; i++ { // until the slow one is known as slow
+		before := slow.runs.Load()
+		var asked [12]*client
+		for j := range asked {
+			asked[j] = s.dial(t)
+			io.WriteString(asked[j], get(fmt.Sprintf("usual%d-%d", i, j)))
+		}
+		for _, c := range asked {
+			c.ask(t, "")
+		}
+		if calm++; slow.runs.Load() > before {
+			calm = 0
+		}
+	}
+	before := slow.runs.Load()
+	for i := range 20 {
+		text := strings.Replace(get("hasty"+strconv.Itoa(i)), "10000", strconv.FormatInt(hasty.Milliseconds(), 10), 1)
+		s.dial(t).ask(t, text)
+	}
+	if n := slow.runs.Load() - before; n > 0 {
+		t.Errorf("%d of 20 hasty requests went to the upstream that answers too late for them", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -202,7 +202,7 @@
 	r := &request{Request: q, class: c}
 	b.requests[q.ID] = r
 	r.began = c.began(now, q, b.cfg.Tick)
-	r.useful = r.began + c.Aim
+	r.useful = min(r.began+c.Aim, q.Expires) // nobody waits longer, however short that is
 	r.end = q.Expires
 	if c.LateShare == 0 {
 		r.end = min(r.end, r.useful-b.cfg.Tick)
@@ -355,16 +355,20 @@
 
 // Outcome takes the end of an attempt.
 func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
+	r := b.requests[o.ID]
+	known := r != nil && o.Attempt >= 0 && o.Attempt < len(r.attempts) && r.attempts[o.Attempt].out
+	// What the client would not wait for tells nothing of the server, unless that is slow even so. Without this clients
+	// of little patience would have good servers taken for full and left out, and for faster than they are.
+	hasty := known && o.Status == Timeout && now-r.attempts[o.Attempt].sent < slowShare*r.attempts[o.Attempt].expected
 	if s := b.servers[o.Server]; s != nil {
 		if o.Status == OK {
 			s.fails, s.lastOK = 0, now
-		} else {
+		} else if !hasty {
 			b.failed(now, s, o.Status, b.silent(now, s))
 		}
 		b.report(now, s, o.Load)
 	}
-	r := b.requests[o.ID]
-	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].out {
+	if !known {
 		return
 	}
 	a := &r.attempts[o.Attempt]
@@ -373,7 +377,7 @@
 	a.server.out--
 	a.server.hear(now, o.Status)
 	r.ended = r.ended || o.Closed
-	if o.Status == OK || o.Status == Timeout {
+	if o.Status == OK || o.Status == Timeout && !hasty {
 		if at := b.delay.at(a.queue); at > 0 {
 			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
 		}
@@ -459,7 +463,7 @@
 		s = c
 	}
 	s.marked = false
-	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s)}
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s), expected: b.expected(s)}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.ask(now)
@@ -642,9 +646,7 @@
 func (b *Balancer) finish(now Time, r *request, retry bool, act Actions) {
 	b.cancelAll(r, act)
 	r.ended = true
-	if now < r.Expires {
-		r.class.owe(r)
-	}
+	r.class.owe(r)
 	if r.patience > 0 {
 		r.patience = 0
 		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
@@ -684,6 +686,7 @@
 func (b *Balancer) Withdrawn(now Time, id RequestID, act Actions) {
 	if r := b.requests[id]; r != nil && !r.ended {
 		r.ended = true
+		r.class.owe(r)
 		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 		b.cancelAll(r, act)
 		b.forget(r)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -252,6 +252,32 @@
 	}
 }
 
+// TestHastyTimeout guards against believing a server full, failing or fast because a client waited less than it takes.
+func TestHastyTimeout(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	b.delay.learn(0, float64(100*time.Millisecond))
+	b.busy = 0
+	s := b.ready[0]
+	s.reported = true
+	ask := func(id RequestID, at Time) {
+		r := &request{Request: Request{ID: id, Expires: time.Minute}, class: b.classes["safe"], end: time.Minute}
+		b.requests[id] = r
+		b.send(at, r, []*server{s}, rec)
+	}
+	want, expected := *s, b.expected(s)
+	ask(1, 0)
+	b.Outcome(50*time.Millisecond, Outcome{ID: 1, Server: s.ID, Status: Timeout, Delay: 50 * time.Millisecond, Closed: true}, rec)
+	if s.queue != want.queue || s.fails != 0 || b.busy != 0 || b.expected(s) != expected {
+		t.Errorf("a short time-out left queue %v, %d failures, busy %v and a delay of %v; want nothing but a delay of %v",
+			s.queue, s.fails, b.busy, b.expected(s), expected)
+	}
+	ask(2, 0)
+	b.Outcome(time.Second, Outcome{ID: 2, Server: s.ID, Status: Timeout, Delay: time.Second, Closed: true}, rec)
+	if s.fails == 0 {
+		t.Error("a long time-out left no trace")
+	}
+}
+
 // TestComeBack guards against clients that ask again at once while nothing has changed.
 func TestComeBack(t *testing.T) {
 	cfg := testConfig()
@@ -318,8 +344,9 @@
 	}{
 		{"nothing known", nil, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
 		{"a usual try", usual, nil, 300 * ms, Request{Expires: 700 * ms}, 300 * ms},
-		{"a last try gets longer", usual, nil, 300 * ms, Request{Expires: 1200 * ms}, 200 * ms},
-		{"a last try is cut short", usual, nil, 900 * ms, Request{Expires: 1000 * ms}, 0},
+		{"a last try gets longer", usual, []*request{{began: 198 * ms}}, 300 * ms, Request{Expires: 1200 * ms}, 200 * ms},
+		{"a last try is cut short", usual, []*request{{began: 0}}, 900 * ms, Request{Expires: 1000 * ms}, 0},
+		{"a client of little patience", usual, []*request{{began: 100 * ms}}, 900 * ms, Request{Expires: 1000 * ms}, 900 * ms},
 		{"a retry of one owed", usual, []*request{owed}, 300 * ms,
 			Request{Expires: 700 * ms, Tenant: "t", Key: "k"}, 100 * ms},
 		{"of another key", usual, []*request{owed}, 300 * ms,
--- a/policy/state.go
+++ b/policy/state.go
@@ -41,8 +41,13 @@
 // minVotes tells that the usual time of a try is known.
 const minVotes = 2
 
+// nearBegin is how far from the end of its client's patience less the deadline a request may have begun: what passes
+// between the client's clock and this one, and the rounding of what it tells.
+const nearBegin = 10 * time.Millisecond
+
 // began estimates when the request began of which q is a try, as few clients mark their retries. A last
-// try, which gets all the time that is left of the deadline rather than the usual, tells it exactly.
+// try, which gets all the time that is left of the deadline rather than the usual, tells it exactly, if a request that is
+// owed began then: a client may as well be of little patience, and its request new.
 // Another is taken for a retry of a request owed to the same tenant, with the same key and expected work, if one could
 // come now. Where neither key nor work is told nothing is taken for a retry: at a sidecar with much traffic some request
 // is always owed, and new ones taken for its retries would be refused as late, be owed in turn, and so on for ever.
@@ -65,8 +70,9 @@
 			return r.began
 		}
 	}
-	if known && !near {
-		return min(now, max(now, q.Expires)-c.Deadline)
+	first := min(now, max(now, q.Expires)-c.Deadline)
+	if known && !near && slices.ContainsFunc(c.owed, func(r *request) bool { return (r.began - first).Abs() <= nearBegin+tick }) {
+		return first
 	}
 	return now
 }
@@ -166,9 +172,10 @@
 	cell     int
 	canceled bool
 	sent     Time
-	queue    float64 // that the server had reported
-	out      bool    // no outcome yet
-	notRun   bool    // proven never to have run
+	queue    float64       // that the server had reported
+	expected time.Duration // its delay, then
+	out      bool          // no outcome yet
+	notRun   bool          // proven never to have run
 }
 
 type request struct {
