Expect of a server at least what its own pace tells, and take it for idle only if little of our own is out there

At 115.0 s one upstream was handed 65 requests within 0.2 s on one stale report of an empty queue. Three lines let that happen. - expected went by the common line of delay by requests standing. It is learnt of quick and slow servers alike; the quick ones are given more and hold more, so the line goes flat: 63 ms were expected behind 65 requests. - pick drew from the servers that look safe, which was this one alone. - full took a reported queue of 0 for idle whatever was out, so that at 37-45 s 349 of 1,900 attempts went to requests whose aim had passed before they were sent, and 122 of 171 sent over their own limit came late. Now each server's own pace is kept: the time from one of our answers to the next while some are out (state.go: answered, turn). What is out times that time is the least to expect; a server that has stopped answering looks worse at once. Idle means that no queue is reported and fewer of ours are out than a server surely works on at once. It should also cover pauses, shared servers that slow down, and report periods of any length. It could hurt where a server works on many at once and few of ours are out: the pace is then understated by up to its cores over two.

Ruled out: capacity alone (delays of 8 to 30 ms at other upstreams in the same second), waits for descriptors.

TestStaleReports (loopback sockets) fails without the change: all of 60 are sent to an upstream that answers none. TestSlowSpellEnds now lets answers come, as what is out counts.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -709,3 +709,59 @@
 		t.Errorf("%d of 20 hasty requests went to the upstream that answers too late for them", n)
 	}
 }
+
+// TestStaleReports guards against heaping requests on an upstream that still reports an empty queue: those that could
+// only be answered late are refused at once, and once the heap is gone all are served again.
+func TestStaleReports(t *testing.T) {
+	var hold atomic.Pointer[chan struct{}]
+	u := startUpstream(t, func(q *http.Request, b []byte) string {
+		if c := hold.Load(); c != nil {
+			<-*c
+		}
+		time.Sleep(20 * time.Millisecond) // so that a heap means a delay
+		return echo(q, b)
+	})
+	cfg := config(t, "127.0.0.1:1", 256, listOf(t, u))
+	cfg.Settings.Config.Classes[0].Aim = 300 * time.Millisecond
+	s := start(t, cfg)
+	for i := range 3 {
+		if status, _ := s.dial(t).ask(t, get("calm"+strconv.Itoa(i))); status != 200 {
+			t.Fatalf("a single request was answered %d", status)
+		}
+	}
+	release := make(chan struct{})
+	hold.Store(&release)
+	const crowd = 60
+	before := u.runs.Load()
+	answers := make(chan int, crowd)
+	for i := range crowd {
+		c := s.dial(t)
+		io.WriteString(c, get("crowd"+strconv.Itoa(i)))
+		go func() {
+			status := 0
+			if resp, err := http.ReadResponse(c.r, nil); err == nil {
+				status = resp.StatusCode
+			}
+			answers <- status
+		}()
+	}
+	waitFor(t, "all to be sent on or answered", func() bool { return int(u.runs.Load()-before)+len(answers) == crowd })
+	if len(answers) == 0 {
+		t.Errorf("all of %d at once were sent to one upstream that answers none", crowd)
+	}
+	for range len(answers) {
+		if status := <-answers; status != http.StatusServiceUnavailable {
+			t.Errorf("answered %d at once, want a refusal", status)
+		}
+	}
+	hold.Store(nil)
+	close(release)
+	waitFor(t, "the heap to be gone", func() bool {
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		return len(s.host.requests) == 0
+	})
+	if status, _ := s.dial(t).ask(t, get("after")); status != 200 {
+		t.Errorf("answered %d once the heap was gone", status)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -224,7 +224,7 @@
 		return
 	}
 	r.probed = b.renew(now, r, set, act)
-	good := func(s *server) bool { return b.hasMark(now, s) && !b.full(r, s) && !b.cfg.WarmKeys }
+	good := func(s *server) bool { return b.hasMark(now, s) && !b.full(now, r, s) && !b.cfg.WarmKeys }
 	if slices.ContainsFunc(set, good) {
 		b.send(now, r, set, act)
 		return
@@ -302,11 +302,11 @@
 			continue
 		}
 		r.replies++
-		if r.replies == len(r.probed) && b.zonal && (!told || b.full(r, s)) && b.credit >= probeSample {
+		if r.replies == len(r.probed) && b.zonal && (!told || b.full(now, r, s)) && b.credit >= probeSample {
 			r.probed = b.renew(now, r, b.ready[b.setSize:], act) // the own zone is full: look abroad
 			continue
 		}
-		if told && !b.full(r, s) {
+		if told && !b.full(now, r, s) {
 			// The first reply of its own round is the request's threshold, and so its mark. Waiting for a
 			// mark under the threshold of another request's round would refuse what could be served.
 			b.threshold, s.marked, s.markedAt = s.queue, true, now
@@ -333,7 +333,7 @@
 
 // place sends r to a server of set, or refuses it if one drawn is full for it.
 func (b *Balancer) place(now Time, r *request, set []*server, act Actions) {
-	if s := b.pick(now, r, set); s != nil && b.full(r, s) || !b.send(now, r, set, act) {
+	if s := b.pick(now, r, set); s != nil && b.full(now, r, s) || !b.send(now, r, set, act) {
 		b.finish(now, r, true, act)
 	}
 }
@@ -374,6 +374,9 @@
 	a := &r.attempts[o.Attempt]
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
+	if o.Status == OK || o.Status == AppError {
+		a.server.answered(now)
+	}
 	a.server.out--
 	a.server.hear(now, o.Status)
 	r.ended = r.ended || o.Closed
@@ -463,15 +466,18 @@
 		s = c
 	}
 	s.marked = false
-	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s), expected: b.expected(s)}
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s), expected: b.expected(now, s)}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.ask(now)
+	if s.out == 0 {
+		s.turnFrom = now
+	}
 	s.out++
 	if len(r.attempts) == 1 {
 		b.earn(1 - refusedShare)
 		b.hedges = min(b.hedges+hedgeShare, mostHedges)
-		wait := max(b.cfg.Tick, slowShare*b.expected(s), r.useful-now-b.expected(s))
+		wait := max(b.cfg.Tick, slowShare*b.expected(now, s), r.useful-now-b.expected(now, s))
 		if b.cfg.MayDuplicate && r.class.Effect != Unsafe && now+wait < r.useful {
 			act.SetTimer(wait, hedgeToken+token(r.ID))
 		}
@@ -491,7 +497,7 @@
 	}
 	silent := slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.out && b.silent(now, a.server) })
 	idle := slices.DeleteFunc(b.set(now), func(s *server) bool {
-		return !silent && s.queue >= 1 || now+b.expected(s) > r.useful || b.warmth(now, s) < 1
+		return !silent && s.queue >= 1 || now+b.expected(now, s) > r.useful || b.warmth(now, s) < 1
 	})
 	if b.hedges < 1 && !silent || b.pick(now, r, idle) == nil {
 		return
@@ -535,7 +541,7 @@
 			continue
 		}
 		all = append(all, s)
-		if now+safeShare*b.expected(s) > r.useful {
+		if now+safeShare*b.expected(now, s) > r.useful {
 			continue
 		}
 		safe = append(safe, s)
@@ -562,19 +568,21 @@
 }
 
 // late reports whether r would miss its aim at s by the latest figures.
-func (b *Balancer) late(now Time, r *request, s *server) bool { return now+b.expected(s) > r.useful }
+func (b *Balancer) late(now Time, r *request, s *server) bool {
+	return now+b.expected(now, s) > r.useful
+}
 
-// full reports whether r should rather be refused than stand in the queue of s. Where the queue is empty, refusing makes
+// full reports whether r should rather be refused than stand in the queue of s. Where s is idle, refusing makes
 // nobody faster, whatever the delays so far tell: without this a spell of slow answers would have all refused for good,
 // since no further answer could tell that it is over.
-func (b *Balancer) full(r *request, s *server) bool {
-	return (s.queue >= 1 || !s.reported) && b.feared(s) > r.limit
+func (b *Balancer) full(now Time, r *request, s *server) bool {
+	return !s.idle() && b.feared(now, s) > r.limit
 }
 
 // feared is the delay of s to reckon with: answers scatter about what is expected, so that where many wait, half of those
 // let in at the very limit would come late and cost as much.
-func (b *Balancer) feared(s *server) time.Duration {
-	return time.Duration(min((1+b.busy*b.busy)*float64(b.expected(s)), float64(time.Hour)))
+func (b *Balancer) feared(now Time, s *server) time.Duration {
+	return time.Duration(min((1+b.busy*b.busy)*float64(b.expected(now, s)), float64(time.Hour)))
 }
 
 // comeBack is how long the client of a refused request had better wait: until the queue by which it could first be
@@ -585,15 +593,17 @@
 	}
 	wait := b.cfg.MaxRetryAfter
 	for _, s := range b.set(now) {
-		wait = min(wait, max(b.cfg.Tick, b.feared(s)-r.limit))
+		wait = min(wait, max(b.cfg.Tick, b.feared(now, s)-r.limit))
 	}
 	return wait
 }
 
 // expected is the delay to expect of an answer of s: the common line of delay by requests standing there, times how much
-// slower than it s has been.
-func (b *Balancer) expected(s *server) time.Duration {
-	return time.Duration(min(b.delay.at(b.standing(s))*s.slowness, float64(time.Hour)))
+// slower than it s has been, and at least what its own pace tells. The line is learnt of all servers alike, and goes flat
+// where the quick ones are given more and so hold more; the pace guards against heaping requests on one of them then.
+func (b *Balancer) expected(now Time, s *server) time.Duration {
+	line := min(b.delay.at(b.standing(s))*s.slowness, float64(time.Hour))
+	return max(time.Duration(line), s.turn(now))
 }
 
 // standing is how many requests a further one at s would stand among, as far as this sidecar can tell: those that the
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -264,12 +264,12 @@
 		b.requests[id] = r
 		b.send(at, r, []*server{s}, rec)
 	}
-	want, expected := *s, b.expected(s)
+	want, expected := *s, b.expected(0, s)
 	ask(1, 0)
 	b.Outcome(50*time.Millisecond, Outcome{ID: 1, Server: s.ID, Status: Timeout, Delay: 50 * time.Millisecond, Closed: true}, rec)
-	if s.queue != want.queue || s.fails != 0 || b.busy != 0 || b.expected(s) != expected {
+	if s.queue != want.queue || s.fails != 0 || b.busy != 0 || b.expected(0, s) != expected {
 		t.Errorf("a short time-out left queue %v, %d failures, busy %v and a delay of %v; want nothing but a delay of %v",
-			s.queue, s.fails, b.busy, b.expected(s), expected)
+			s.queue, s.fails, b.busy, b.expected(0, s), expected)
 	}
 	ask(2, 0)
 	b.Outcome(time.Second, Outcome{ID: 2, Server: s.ID, Status: Timeout, Delay: time.Second, Closed: true}, rec)
@@ -380,14 +380,53 @@
 		s.reported = true // that nothing waits
 	}
 	b.delay.learn(0, float64(time.Second))
-	now := time.Second
+	now, sent := time.Second, 0
 	for id := RequestID(1); id <= 50; id++ {
 		b.credit = 0
 		b.Request(now, Request{ID: id, Class: "safe", Expires: now + 900*time.Millisecond}, rec)
+		for _, line := range rec.take("send") {
+			var server ServerID
+			fmt.Sscanf(line, "send %d %s", &id, &server)
+			b.Outcome(now, Outcome{ID: id, Server: server, Status: OK, Delay: time.Second, Closed: true}, rec)
+			sent++
+		}
 		now += 10 * time.Millisecond
 	}
-	if got := rec.take("refuse"); len(got) > 0 {
-		t.Errorf("refused %v where no queue was reported", got)
+	if sent < 50 {
+		t.Errorf("sent %d of 50 where no queue was reported and nothing was out", sent)
+	}
+}
+
+// TestPace guards against heaping requests on a server that reports an empty queue because the line of delay by requests
+// standing, learnt of quick and slow servers alike, is flat.
+func TestPace(t *testing.T) {
+	const ms = time.Millisecond
+	b, rec := start(t, testConfig(), 4)
+	s := b.ready[0]
+	s.reported = true
+	ask := func(id RequestID, at Time) {
+		r := &request{Request: Request{ID: id, Expires: time.Minute}, class: b.classes["safe"], end: time.Minute}
+		b.requests[id] = r
+		b.send(at, r, []*server{s}, rec)
+	}
+	for id := RequestID(1); id <= 10; id++ {
+		ask(id, 0)
+	}
+	for id := RequestID(1); id <= 10; id++ { // one every 20 ms
+		b.Outcome(Time(id)*20*ms, Outcome{ID: id, Server: s.ID, Status: OK, Closed: true}, rec)
+	}
+	b.delay = delayModel{delay: float64(20 * ms), variance: 1e9} // flat
+	for id := RequestID(11); id <= 20; id++ {
+		ask(id, time.Second)
+	}
+	if got := b.expected(time.Second, s); got < 180*ms || got > 220*ms {
+		t.Errorf("behind ten others at 20ms each %v is expected, want about 200ms", got)
+	}
+	if s.idle() {
+		t.Error("it counts as idle")
+	}
+	if got := b.expected(time.Second+500*ms, s); got < 600*ms {
+		t.Errorf("after half a second without an answer %v is expected", got)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,9 +102,37 @@
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
+	gap      float64 // smoothed: time from one answer to own attempts to the next, while some are out
+	turnFrom Time    // of the last answer, or of the first attempt since none was out
 	ejected  Time
 }
 
+// idle reports whether nothing waits at s as far as this sidecar can tell: by the latest report, and by its own requests
+// that are out there. The report alone would have a sidecar with much traffic heap requests on a server until the next
+// one, and under overload fill it with what comes late. Where all are slow at little traffic it still tells idle, since
+// what is out comes back.
+func (s *server) idle() bool { return s.reported && s.queue < 1 && s.out < assumedCores }
+
+// answered notes an answer to one of the attempts that are out. While fewer are out than a server works on at once, the
+// time from one answer to the next is not all that it could do.
+func (s *server) answered(now Time) {
+	sample := float64(now-s.turnFrom) * float64(min(s.out, assumedCores)) / assumedCores
+	if s.gap == 0 {
+		s.gap = sample
+	}
+	s.gap += smooth * (sample - s.gap)
+	s.turnFrom = now
+}
+
+// turn is when a further attempt at s would be answered by the pace at which this sidecar's own have been: those that are
+// out come first, whatever others send there. Where s has stopped for longer than usual the time since then counts too.
+func (s *server) turn(now Time) time.Duration {
+	if s.out == 0 {
+		return time.Duration(s.gap)
+	}
+	return time.Duration(float64(s.out)*s.gap) + max(time.Duration(s.gap), now-s.turnFrom)
+}
+
 // ask notes that an attempt or a probe is about to go to s.
 func (s *server) ask(now Time) {
 	if s.out+s.probes == 0 {
