--- a/policy/policy.go
+++ b/policy/policy.go
@@ -579,10 +579,13 @@
 	return !s.idle() && b.feared(now, s) > r.limit
 }
 
+// fear is the part by which answers of servers where all have to wait are reckoned with as slower than expected.
+const fear = 0.5
+
 // feared is the delay of s to reckon with: answers scatter about what is expected, so that where many wait, half of those
-// let in at the very limit would come late and cost as much.
+// let in at the very limit would come late and cost as much. Too much of it turns away what would be in time.
 func (b *Balancer) feared(now Time, s *server) time.Duration {
-	return time.Duration(min((1+b.busy*b.busy)*float64(b.expected(now, s)), float64(time.Hour)))
+	return time.Duration(min((1+fear*b.busy*b.busy)*float64(b.expected(now, s)), float64(time.Hour)))
 }
 
 // comeBack is how long the client of a refused request had better wait: until the queue by which it could first be
