Send copies for as long as they win, and learn nothing of a server from a request that it swallowed

Now four ticks earlier, and as soon as an answer is slow while most copies win. A copy that answers first pays for the next one, so that the share of 3% no longer ends the rescue. It could hurt where the first attempts are slow but sure: copies then lose, and fall back to their share of the traffic.

TestSwallowedRequests (loopback sockets) fails without the change.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -765,3 +765,42 @@
 		t.Errorf("answered %d once the heap was gone", status)
 	}
 }
+
+// TestSwallowedRequests guards against upstreams that never answer some requests while they answer others: second copies
+// go on for as long as they answer first, and the upstreams stay in use.
+func TestSwallowedRequests(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	f := func(q *http.Request, b []byte) string {
+		mu.Lock()
+		defer mu.Unlock()
+		id := q.Header.Get("X-Request-Id")
+		if first := !seen[id]; first && strings.HasPrefix(id, "swallowed") {
+			seen[id] = true
+			return ""
+		}
+		return echo(q, b)
+	}
+	cfg := config(t, "127.0.0.1:1", 256, listOf(t, startUpstream(t, f), startUpstream(t, f), startUpstream(t, f)))
+	cfg.Settings.Config.MayDuplicate = true
+	cfg.Settings.Config.Classes[0].Aim = time.Second
+	s := start(t, cfg)
+	c := s.dial(t)
+	for i := range 70 { // these pay for the first copies
+		c.ask(t, get("before"+strconv.Itoa(i)))
+	}
+	answered := 0
+	const rounds = 20
+	for i := range rounds {
+		for _, name := range []string{"calm", "calm-too", "swallowed"} {
+			id := name + strconv.Itoa(i)
+			status, body := c.ask(t, strings.Replace(get(id), "10000", "1500", 1))
+			if name == "swallowed" && status == 200 && body == id {
+				answered++
+			}
+		}
+	}
+	if answered < rounds/2 {
+		t.Errorf("%d of %d requests that the first upstream swallowed were answered", answered, rounds)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,10 @@
 	// many of them may come at once. What the copies cost must stay small where all are slow.
 	hedgeShare = 0.03
 	mostHedges = 10
+	// copiesWin is the share of second copies that must answer first for them to be sent as soon as an answer is slow.
+	copiesWin = 0.5
+	// lateTimer is how many ticks a timer may come late.
+	lateTimer = 4
 	// slowShare times the delay expected of it makes an answer slow.
 	slowShare = 2
 	// safeShare times the delay expected of a server must fit into the aim for it to be drawn before others: answers
@@ -65,7 +69,8 @@
 	markLife  time.Duration // marks older than this have gone stale
 	busy      float64       // share of probes that found a request waiting
 	credit    float64       // probes that the traffic so far has paid for
-	hedges    float64       // second copies that the traffic so far has paid for
+	hedges    float64       // second copies that the traffic so far, and copies that answered first, have paid for
+	copyWins  float64       // smoothed: share of second copies that answered first
 
 	delay delayModel // of answers by the reported queue
 
@@ -357,13 +362,11 @@
 func (b *Balancer) Outcome(now Time, o Outcome, act Actions) {
 	r := b.requests[o.ID]
 	known := r != nil && o.Attempt >= 0 && o.Attempt < len(r.attempts) && r.attempts[o.Attempt].out
-	// What the client would not wait for tells nothing of the server, unless that is slow even so. Without this clients
-	// of little patience would have good servers taken for full and left out, and for faster than they are.
-	hasty := known && o.Status == Timeout && now-r.attempts[o.Attempt].sent < slowShare*r.attempts[o.Attempt].expected
+	own := known && o.Status == Timeout && r.attempts[o.Attempt].ownFault(now)
 	if s := b.servers[o.Server]; s != nil {
 		if o.Status == OK {
 			s.fails, s.lastOK = 0, now
-		} else if !hasty {
+		} else if !own {
 			b.failed(now, s, o.Status, b.silent(now, s))
 		}
 		b.report(now, s, o.Load)
@@ -375,12 +378,15 @@
 	a.out, a.notRun = false, o.Status.NotRun()
 	r.out--
 	if o.Status == OK || o.Status == AppError {
-		a.server.answered(now)
+		a.server.answered(now, a.sent)
 	}
 	a.server.out--
 	a.server.hear(now, o.Status)
+	if o.Status == OK && (r.out > 0) {
+		b.copied(o.Attempt > 0)
+	}
 	r.ended = r.ended || o.Closed
-	if o.Status == OK || o.Status == Timeout && !hasty {
+	if o.Status == OK || o.Status == Timeout && !own {
 		if at := b.delay.at(a.queue); at > 0 {
 			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
 		}
@@ -395,6 +401,18 @@
 	}
 }
 
+// copied notes whether, of two attempts that were out together, the second answered first. Such a copy pays for a further
+// one: where some servers swallow requests, copies go on for as long as they win, and where all are slow alike, so that
+// the first answers first, they stay within their share of the traffic.
+func (b *Balancer) copied(won bool) {
+	win := 0.0
+	if won {
+		win = 1
+	}
+	b.hedges = min(b.hedges+win, mostHedges)
+	b.copyWins += smooth * (win - b.copyWins)
+}
+
 // failed notes evidence against a server: it is left out of the ready set for a while that grows
 // with failures in a row. Guards against servers that err at once and so keep a short queue. A time-out counts only if the
 // server had been silent altogether, or if others have gone before and nothing good came between: else it may be the load.
@@ -470,14 +488,14 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.ask(now)
-	if s.out == 0 {
-		s.turnFrom = now
-	}
 	s.out++
 	if len(r.attempts) == 1 {
 		b.earn(1 - refusedShare)
 		b.hedges = min(b.hedges+hedgeShare, mostHedges)
-		wait := max(b.cfg.Tick, slowShare*b.expected(now, s), r.useful-now-b.expected(now, s))
+		wait := max(b.cfg.Tick, slowShare*b.expected(now, s))
+		if b.copyWins < copiesWin { // at the last moment, as most that are slow still answer; timers come a little late
+			wait = max(wait, r.useful-now-b.expected(now, s)-lateTimer*b.cfg.Tick)
+		}
 		if b.cfg.MayDuplicate && r.class.Effect != Unsafe && now+wait < r.useful {
 			act.SetTimer(wait, hedgeToken+token(r.ID))
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,7 +103,8 @@
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
 	gap      float64 // smoothed: time from one answer to own attempts to the next, while some are out
-	turnFrom Time    // of the last answer, or of the first attempt since none was out
+	turnFrom Time    // of the last answer
+	overtook Time    // when the latest attempt was sent that it has answered
 	ejected  Time
 }
 
@@ -113,24 +114,25 @@
 // what is out comes back.
 func (s *server) idle() bool { return s.reported && s.queue < 1 && s.out < assumedCores }
 
-// answered notes an answer to one of the attempts that are out. While fewer are out than a server works on at once, the
-// time from one answer to the next is not all that it could do.
-func (s *server) answered(now Time) {
-	sample := float64(now-s.turnFrom) * float64(min(s.out, assumedCores)) / assumedCores
+// answered notes an answer to an attempt that is out since sent. What else is out may hang for reasons of its own, so that
+// the server worked on this one from then on at the earliest. While fewer are out than a server works on at once, the time
+// from one answer to the next is not all that it could do.
+func (s *server) answered(now, sent Time) {
+	sample := float64(now-max(s.turnFrom, sent)) * float64(min(s.out, assumedCores)) / assumedCores
 	if s.gap == 0 {
 		s.gap = sample
 	}
 	s.gap += smooth * (sample - s.gap)
-	s.turnFrom = now
+	s.turnFrom, s.overtook = now, max(s.overtook, sent)
 }
 
 // turn is when a further attempt at s would be answered by the pace at which this sidecar's own have been: those that are
-// out come first, whatever others send there. Where s has stopped for longer than usual the time since then counts too.
+// out come first, whatever others send there. Where s has said nothing for longer than that takes, the time since counts.
 func (s *server) turn(now Time) time.Duration {
 	if s.out == 0 {
 		return time.Duration(s.gap)
 	}
-	return time.Duration(float64(s.out)*s.gap) + max(time.Duration(s.gap), now-s.turnFrom)
+	return time.Duration(float64(s.out)*s.gap) + max(time.Duration(s.gap), now-s.asked)
 }
 
 // ask notes that an attempt or a probe is about to go to s.
@@ -206,6 +208,15 @@
 	notRun   bool          // proven never to have run
 }
 
+// ownFault reports whether the time-out of a tells nothing of its server: the client waited less than an answer that is
+// not even slow takes, or the server has answered what it was sent later, so that only this request was swallowed.
+// Without this clients of little patience, or a fault that swallows some requests, would have good servers taken for full
+// or failing and left out, and the waits learnt as their delay. It could hide a server that gets to some much too late;
+// its pace still tells.
+func (a *attempt) ownFault(now Time) bool {
+	return now-a.sent < slowShare*a.expected || a.server.overtook > a.sent
+}
+
 type request struct {
 	Request
 	class    *class
