--- a/internal/sidecar/request.go
+++ b/internal/front/request.go
@@ -1,4 +1,4 @@
-package sidecar
+package front
 
 import (
 	"bufio"
@@ -10,62 +10,38 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
-	"heathstack/policy"
+	"heathstack/internal/message"
 )
 
 const (
-	// mostBody is the longest body that the protocol allows, of a request as of an answer.
-	mostBody = 64 << 10
 	// mostClientHead bounds a request's head, and mostTrailer what follows a chunked body.
 	mostClientHead = 16 << 10
 	mostTrailer    = 1 << 10
 	// clientBuffer is the size of a client connection's buffer: most requests fit.
 	clientBuffer = 2 << 10
-	// mostID bounds what a client may name a request: ids are kept while the request is open, and a little longer.
-	mostID = 128
-	// mostWait bounds a client's wait where the settings name no class.
-	mostWait = time.Minute
 )
 
-// badRequest is a request that is turned away, and why.
-type badRequest struct {
-	status int
-	text   string
-}
-
-func (b badRequest) Error() string { return b.text }
-
 var (
-	errHead     = badRequest{http.StatusBadRequest, "the head cannot be read"}
-	errHeadLong = badRequest{http.StatusRequestHeaderFieldsTooLarge, "the head is too long"}
-	errBodyLong = badRequest{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
-	errBody     = badRequest{http.StatusBadRequest, "the body cannot be read"}
-	errSlow     = badRequest{http.StatusRequestTimeout, "the request did not come whole in time"}
-	errLengths  = badRequest{http.StatusBadRequest, "both Content-Length and Transfer-Encoding"}
-	errRoom     = badRequest{http.StatusServiceUnavailable, "no room for the body"}
-	errIDInUse  = badRequest{http.StatusConflict, "a request with this X-Request-ID is open"}
+	errHead     = message.Bad{Status: http.StatusBadRequest, Text: "the head cannot be read"}
+	errHeadLong = message.Bad{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too long"}
+	errBodyLong = message.Bad{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+	errBody     = message.Bad{Status: http.StatusBadRequest, Text: "the body cannot be read"}
+	errSlow     = message.Bad{Status: http.StatusRequestTimeout, Text: "the request did not come whole in time"}
+	errLengths  = message.Bad{Status: http.StatusBadRequest, Text: "both Content-Length and Transfer-Encoding"}
+	errVersion  = message.Bad{Status: http.StatusHTTPVersionNotSupported, Text: "not HTTP/1.1"}
+	errHost     = message.Bad{Status: http.StatusBadRequest, Text: "no Host"}
+	errTarget   = message.Bad{Status: http.StatusBadRequest, Text: "the target is no path"}
 )
 
-// room is the memory for the bodies of requests. A body's whole length is reserved before it is read.
-type room struct{ *semaphore.Weighted }
-
-// newRoom gives bodies an eighth of the memory: they are held as long as an attempt may need them, beside answers of
-// the same size, buffers and what is not collected yet.
-func newRoom(memoryMB int) *room { return &room{semaphore.NewWeighted(int64(memoryMB) << 20 / 8)} }
-
-// clientRequest is a request as it was read.
+// clientRequest is a request whose head was read.
 type clientRequest struct {
-	method, uri, path, host string
-	header                  http.Header
-	body                    []byte
-	free                    func() // gives the room of body back
-	last                    bool   // no other may follow on its connection
+	message.Request
+	chunked bool
+	expects bool // the client waits for a 100 before it sends the body
+	last    bool // no other may follow on its connection
 }
 
 // requestReader reads the requests of one client's connection.
@@ -84,8 +60,9 @@
 	return err
 }
 
-// read reads a request within the connection's deadline. An error that is no badRequest means that the client left.
-func (r *requestReader) read(c net.Conn, m *room) (*clientRequest, error) {
+// read reads the head of a request within the connection's deadline. An error that is no message.Bad means that the client
+// left.
+func (r *requestReader) read() (*clientRequest, error) {
 	head, err := r.head()
 	if err != nil {
 		return nil, err
@@ -99,44 +76,52 @@
 	case err != nil:
 		return nil, errHead
 	case q.ProtoMajor != 1:
-		return nil, badRequest{http.StatusHTTPVersionNotSupported, "not HTTP/1.1"}
+		return nil, errVersion
 	case q.Host == "" && q.ProtoAtLeast(1, 1):
-		return nil, badRequest{http.StatusBadRequest, "no Host"}
+		return nil, errHost
 	case !strings.HasPrefix(q.RequestURI, "/"):
-		return nil, badRequest{http.StatusBadRequest, "the target is no path"}
+		return nil, errTarget
 	}
 	chunked := len(q.TransferEncoding) > 0
 	if lengths && chunked {
-		// Guards against a request hidden in the body of another: whoever stood before this sidecar may have gone
+		// Guards against a request hidden in the body of another: whoever stood before this one may have gone
 		// by the other of the two. http.ReadRequest drops the length without a word, so checkHead looks for it.
 		return nil, errLengths
 	}
-	n := q.ContentLength
-	if n > mostBody {
+	if q.ContentLength > message.MostBody {
 		return nil, errBodyLong
 	}
-	if chunked {
-		n = mostBody
-	}
-	if !m.TryAcquire(n) {
-		return nil, errRoom // nothing has been sent on: trying again is harmless
-	}
 	cq := &clientRequest{
-		method: q.Method, uri: q.RequestURI, path: q.URL.Path, host: q.Host, header: q.Header,
-		free: func() { m.Release(n) },
-		last: q.Close || !q.ProtoAtLeast(1, 1) || chunked, // RFC 9112, 6.1: no message after an encoded one is trusted
+		Request: message.Request{
+			Method: q.Method, URI: q.RequestURI, Path: q.URL.Path, Host: q.Host, Header: q.Header, Length: q.ContentLength,
+		},
+		chunked: chunked,
+		last:    q.Close || !q.ProtoAtLeast(1, 1) || chunked, // RFC 9112, 6.1: no message after an encoded one is trusted
+	}
+	if chunked {
+		cq.Length = -1
 	}
-	if n > 0 && strings.EqualFold(q.Header.Get("Expect"), "100-continue") {
+	cq.expects = cq.Length != 0 && strings.EqualFold(q.Header.Get("Expect"), "100-continue")
+	return cq, nil
+}
+
+// readBody reads the body of q, whose head was read last.
+func (r *requestReader) readBody(c net.Conn, q *clientRequest) ([]byte, error) {
+	if q.expects {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			cq.free()
 			return nil, err
 		}
 	}
-	if cq.body, err = r.body(q.ContentLength, chunked); err != nil {
-		cq.free()
-		return nil, err
+	return r.body(q.Length, q.chunked)
+}
+
+// skipBody reads over the body of q, which was answered unread, and reports whether another request may follow.
+func (r *requestReader) skipBody(q *clientRequest) bool {
+	if q.chunked || q.expects { // where its body ends, or whether it comes at all, is not known
+		return false
 	}
-	return cq, nil
+	_, err := io.CopyN(io.Discard, r.r, q.Length)
+	return err == nil
 }
 
 // head reads the bytes of a head. Empty lines before it are passed over (RFC 9112, 2.2).
@@ -166,7 +151,7 @@
 }
 
 // readError is what a failed read means: bad, if the client is still there to be told.
-func readError(err error, bad badRequest) error {
+func readError(err error, bad message.Bad) error {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errSlow
@@ -204,7 +189,7 @@
 		switch key := http.CanonicalHeaderKey(string(name)); key {
 		case "Content-Length", "Transfer-Encoding", "Host", "X-Request-Id", "X-Timeout-Ms", "Idempotency-Key":
 			if once[key] {
-				return false, badRequest{http.StatusBadRequest, "more than one " + key}
+				return false, message.Bad{Status: http.StatusBadRequest, Text: "more than one " + key}
 			}
 			once[key] = true
 		}
@@ -236,11 +221,11 @@
 		}
 		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.r), mostBody+1))
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(r.r), message.MostBody+1))
 	if err != nil {
 		return nil, readError(err, errBody)
 	}
-	if len(body) > mostBody {
+	if len(body) > message.MostBody {
 		return nil, errBodyLong
 	}
 	for left := mostTrailer; ; {
@@ -278,50 +263,3 @@
 	<-gone
 	return !r.left
 }
-
-// legal reads what a request says of itself. What does not have the protocol's form is turned away here, as upstreams
-// would turn it away, or read something else in it.
-func (h *host) legal(q *clientRequest) (*request, policy.Request, time.Duration, error) {
-	var event policy.Request
-	bad := func(status int, text string) (*request, policy.Request, time.Duration, error) {
-		return nil, event, 0, badRequest{status, text}
-	}
-	id := q.header.Get("X-Request-Id")
-	if id == "" || len(id) > mostID {
-		return bad(http.StatusBadRequest, "no usable X-Request-ID")
-	}
-	path := strings.Split(strings.TrimPrefix(q.path, "/"), "/")
-	event.Class = path[0]
-	if len(path) > 1 {
-		event.Key = path[len(path)-1]
-	}
-	event.Tenant = q.header.Get("X-Tenant-Id")
-	event.Retry = q.header.Get("X-Retried") == "1"
-	if us, err := strconv.ParseInt(q.header.Get("X-Cost"), 10, 64); err == nil && us > 0 && us < int64(time.Hour/time.Microsecond) {
-		event.Cost = time.Duration(us) * time.Microsecond
-	}
-	effect, known := h.effects[event.Class]
-	key := q.header.Get("Idempotency-Key") != ""
-	switch {
-	case len(h.effects) == 0: // the settings name no class: any will do
-	case !known:
-		return bad(http.StatusNotFound, "no such class")
-	case (effect == policy.Safe) != (q.method == http.MethodGet), effect != policy.Safe && q.method != http.MethodPost:
-		return bad(http.StatusMethodNotAllowed, "the class has another method")
-	case effect == policy.Safe && len(q.body) > 0:
-		return bad(http.StatusBadRequest, "a body where the class has none")
-	case effect == policy.Keyed && !key: // upstreams could not tell a repeat, so that it would run twice
-		return bad(http.StatusBadRequest, "no Idempotency-Key")
-	}
-	ms, err := strconv.ParseUint(q.header.Get("X-Timeout-Ms"), 10, 63)
-	if err != nil || ms == 0 {
-		return bad(http.StatusBadRequest, "no usable X-Timeout-Ms")
-	}
-	// A client that would wait longer than any class allows must not make timers last for ever.
-	timeout := time.Duration(min(ms, uint64(h.longest.Milliseconds()))) * time.Millisecond
-	r := &request{
-		name: id, method: q.method, uri: q.uri, host: q.host, header: forwarded(q.header), body: q.body, free: q.free,
-		answer: make(chan answer, 1),
-	}
-	return r, event, timeout, nil
-}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,535 @@
+// Package front holds the connections of clients: it reads requests from them (HTTP/1.1), asks a Handler what becomes of
+// each, and writes its one final answer. Which pool a request is for, whether it is admitted and what it is answered is
+// not for this package to know.
+package front
+
+import (
+	"bytes"
+	"cmp"
+	lists "container/list"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"heathstack/internal/message"
+	"heathstack/internal/proc"
+)
+
+const (
+	// firstByteTime is how long a connection may stand without a request, be it new or between two requests. It
+	// guards descriptors against clients that connect and say nothing, or ask once and keep the connection.
+	firstByteTime = 2 * time.Second
+	// requestTime is how long a request may take from its first byte to its last. With firstByteTime it bounds the
+	// life of a connection that never brings a whole request. A client that needs longer for 64 KiB on its own
+	// machine would be cut off.
+	requestTime = 800 * time.Millisecond
+	// writeTime is how long a client may take none of its answer.
+	writeTime = 2 * time.Second
+	// lingerTime and lingerBytes bound how much of a rejected request is still read, so that the client finds the
+	// error rather than a reset.
+	lingerTime  = 200 * time.Millisecond
+	lingerBytes = 256 << 10
+	// freshTime is the age under which a connection makes room for another only if no older one can: its first
+	// request is about to come.
+	freshTime = 100 * time.Millisecond
+	// slowTime is the age from which a request that is still coming makes room for others, if its client sends nothing.
+	slowTime = 200 * time.Millisecond
+	// drainQuiet is how long a connection that has brought no request is still waited for while the server drains.
+	drainQuiet = 300 * time.Millisecond
+	// firstPause and mostPause bound how long a connection on which a request was turned away as malformed is not
+	// read. The pause doubles with each such request in a row: clients that send the same again at full speed must
+	// not take the processor from others.
+	firstPause = 5 * time.Millisecond
+	mostPause  = 320 * time.Millisecond
+	// acceptPause is the wait after a failed accept that may pass, such as a want of descriptors.
+	acceptPause = 10 * time.Millisecond
+)
+
+// Owner names the pool that a connection's last request was for. 0: it has brought none.
+type Owner uint32
+
+// Handler says what becomes of requests. It is called from many goroutines at once.
+type Handler interface {
+	// Admit decides on a request by its head. The owner counts also if it is turned away, with a message.Bad.
+	Admit(q *message.Request) (Admission, Owner, error)
+	// Pause is how long a connection is not read after an answer: refused counts the requests on it in a row that were not
+	// admitted.
+	Pause(o Owner, refused int) time.Duration
+	// Moved tells that a connection belongs to another owner than it did.
+	Moved(from, to Owner)
+	// Excess orders the owners by who gives up a connection first: the highest does.
+	Excess(o Owner) int64
+}
+
+// Admission is a request that is admitted and whose body is still to come. One of its methods must be called.
+type Admission interface {
+	// Take hands over the request with its body. The error is a message.Bad.
+	Take(body []byte) (Exchange, error)
+	// Release tells that the body never came.
+	Release()
+}
+
+// Exchange is a request that a pool has taken.
+type Exchange interface {
+	// Answer is where the one final answer comes.
+	Answer() <-chan message.Answer
+	// Withdraw tells that the client has left, and reports whether the request was still open: else its answer is there.
+	Withdraw() bool
+}
+
+// Server owns the connections of clients. Each has one goroutine, which reads a request, waits for its final answer
+// and writes it. It alone closes the connection: no one else can tell whether it has just read a request, which would
+// be lost. Who wants a connection closed makes its read end instead (see dismiss). The server reads from sockets itself,
+// rather than through net/http's, because that hides what the rules need: whether a head had both a length and a transfer
+// encoding, and whether a connection has sent nothing.
+type Server struct {
+	handler     Handler
+	descriptors *proc.Descriptors
+	log         *slog.Logger
+
+	mu       sync.Mutex
+	draining bool
+	ports    map[net.Listener]*port
+	conns    map[*clientConn]struct{} // all; the descriptors bound it
+	quiet    [quietKinds]lists.List   // *clientConn without a whole request, longest first
+	idle     map[Owner]*lists.List    // *clientConn between two requests, longest first
+	done     sync.WaitGroup           // of the connections' goroutines
+}
+
+// The kinds of connections without a whole request, but for those that are idle.
+const (
+	fresh   = iota // no request has come yet
+	reading        // one has begun to come
+	quietKinds
+	idle = quietKinds
+)
+
+// port is where connections come in.
+type port struct {
+	draining bool // Server.mu
+}
+
+// clientConn is a client's connection. What Server.mu guards is touched only under it.
+type clientConn struct {
+	net.Conn
+	port    *port
+	release func() // of its descriptor
+	reader  *requestReader
+
+	owner Owner          // Server.mu
+	kind  int            // Server.mu: of the list that place is in
+	place *lists.Element // Server.mu: nil while a request is open
+	since time.Time      // Server.mu: in that list since then
+}
+
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
+}
+
+// New returns a server without listeners.
+func New(h Handler, d *proc.Descriptors, log *slog.Logger) *Server {
+	return &Server{
+		handler: h, descriptors: d, log: log, conns: map[*clientConn]struct{}{}, ports: map[net.Listener]*port{},
+		idle: map[Owner]*lists.List{},
+	}
+}
+
+// Serve serves the connections that come until the listener is closed. While no descriptor is free they wait in the
+// kernel's backlog. The connections live on.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	at := &port{}
+	s.mu.Lock()
+	s.ports[ln] = at
+	s.mu.Unlock()
+	for {
+		release, err := s.descriptors.AcquireClient(ctx)
+		if err != nil {
+			return err
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			release()
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			s.log.Warn("accept", "err", err)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(acceptPause):
+			}
+			continue
+		}
+		c := &clientConn{Conn: nc, port: at, release: release, reader: newRequestReader(nc)}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.setQuiet(c, fresh)
+		s.done.Add(1)
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// serve answers the requests of one connection in turn.
+func (s *Server) serve(c *clientConn) {
+	defer s.drop(c)
+	malformed, refused := 0, 0
+	for s.await(c) {
+		q, err := c.reader.read()
+		if err != nil {
+			s.reject(c, err)
+			return
+		}
+		status, admitted, open := s.answer(c, q)
+		if !open {
+			return
+		}
+		pause := time.Duration(0)
+		switch {
+		case admitted:
+			malformed, refused = 0, 0
+		case status < http.StatusBadRequest || status == http.StatusTooManyRequests || status >= http.StatusInternalServerError:
+			malformed = 0
+			refused++
+		default:
+			pause = min(firstPause<<min(malformed, 10), mostPause)
+			malformed++
+		}
+		if pause = max(pause, s.handler.Pause(c.owner, refused)); pause > 0 {
+			time.Sleep(pause)
+		}
+		if !s.setIdle(c) {
+			return
+		}
+	}
+}
+
+// list is that of the connections like c. The caller holds mu.
+func (s *Server) list(c *clientConn) *lists.List {
+	if c.kind != idle {
+		return &s.quiet[c.kind]
+	}
+	l := s.idle[c.owner]
+	if l == nil {
+		l = &lists.List{}
+		s.idle[c.owner] = l
+	}
+	return l
+}
+
+// setPlace puts c, which has no place, in the list of its kind. The caller holds mu.
+func (s *Server) setPlace(c *clientConn, kind int) {
+	c.kind, c.since = kind, time.Now()
+	c.place = s.list(c).PushBack(c)
+}
+
+// leave takes c out of its list, if it is in one. The caller holds mu.
+func (s *Server) leave(c *clientConn) {
+	if c.place == nil {
+		return
+	}
+	l := s.list(c)
+	l.Remove(c.place)
+	c.place = nil
+	if c.kind == idle && l.Len() == 0 {
+		delete(s.idle, c.owner)
+	}
+}
+
+// setQuiet puts c, which has no open request, in its list. The caller holds mu.
+func (s *Server) setQuiet(c *clientConn, kind int) {
+	s.setPlace(c, kind)
+	wait := firstByteTime
+	if s.closing(c) {
+		wait = drainQuiet
+	}
+	c.SetDeadline(c.since.Add(wait))
+}
+
+// closing reports whether c is to close with its next answer. The caller holds mu.
+func (s *Server) closing(c *clientConn) bool { return s.draining || c.port.draining }
+
+// setIdle notes that c waits for its next request, and reports whether there may be one. One that has been read already
+// is still answered while the server drains.
+func (s *Server) setIdle(c *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave(c)
+	if s.closing(c) && c.reader.r.Buffered() == 0 {
+		return false
+	}
+	s.setQuiet(c, idle)
+	return true
+}
+
+// await waits for a request to begin to come on c, and reports whether one has: even one that came at the very end of
+// the wait, or after c was dismissed.
+func (s *Server) await(c *clientConn) bool {
+	err := c.reader.await()
+	come := err == nil || errors.Is(err, os.ErrDeadlineExceeded) && !proc.Quiet(c.Conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave(c)
+	c.SetDeadline(time.Now().Add(requestTime))
+	if come {
+		s.setPlace(c, reading)
+	}
+	return come
+}
+
+// setBusy notes that c has brought a whole request: from here on it cannot be dismissed. One that was dismissed before has
+// another deadline again.
+func (s *Server) setBusy(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave(c)
+	c.SetDeadline(time.Time{})
+}
+
+// setOwner notes which pool a request on c is for.
+func (s *Server) setOwner(c *clientConn, o Owner) {
+	if c.owner == o { // only the goroutine of c, which is the caller, writes it
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handler.Moved(c.owner, o)
+	c.owner = o // c is in no list by its owner: it reads
+}
+
+// dismiss makes the goroutine of c, which has no whole request, close it unless one has come. It guards against closing a
+// connection of which that goroutine has just read a request, so that nothing of it shows in the kernel any more.
+// Until the goroutine runs the descriptor stays taken. The caller holds mu.
+func (s *Server) dismiss(c *clientConn) {
+	s.leave(c)
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// drop closes c and forgets it.
+func (s *Server) drop(c *clientConn) {
+	c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave(c)
+	if c.owner != 0 {
+		s.handler.Moved(c.owner, 0)
+	}
+	delete(s.conns, c)
+	s.done.Done()
+}
+
+// Evict dismisses a connection without a whole request to make room for another, and reports whether there was one. It
+// guards against clients that hold descriptors for nothing, whatever their reason. In turn: the oldest that never sent
+// anything; one whose request does not come on; the one idle longest of the pool that has most beyond its part, as it would
+// have asked again, and then connects anew; any that has just come.
+func (s *Server) Evict() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evictOf(&s.quiet[fresh], freshTime) || s.evictOf(&s.quiet[reading], slowTime) ||
+		s.evictIdle() || s.evictOf(&s.quiet[fresh], 0)
+}
+
+func (s *Server) evictIdle() bool {
+	var order []Owner
+	for o := range s.idle {
+		order = append(order, o)
+	}
+	slices.SortFunc(order, func(a, b Owner) int {
+		return cmp.Or(cmp.Compare(s.handler.Excess(b), s.handler.Excess(a)), cmp.Compare(a, b))
+	})
+	for _, o := range order {
+		if s.evictOf(s.idle[o], 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictOf dismisses the first of l that has been there for least and of which nothing is about to be read.
+func (s *Server) evictOf(l *lists.List, least time.Duration) bool {
+	for e := l.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*clientConn)
+		if time.Since(c.since) < least {
+			return false
+		}
+		if !proc.Quiet(c.Conn) { // a request has come, or the end, and its goroutine is about to see it
+			continue
+		}
+		s.dismiss(c)
+		return true
+	}
+	return false
+}
+
+// Drain makes connections close with their next answer, and dismisses those that are idle: a request that crosses that
+// comes again on a new connection.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	s.dismissAll(func(*clientConn) bool { return true })
+}
+
+// DrainListener does the same for the connections that came in at ln, which the caller closes.
+func (s *Server) DrainListener(ln net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.ports[ln]
+	if at == nil {
+		return
+	}
+	delete(s.ports, ln)
+	at.draining = true
+	s.dismissAll(func(c *clientConn) bool { return c.port == at })
+}
+
+// dismissAll dismisses the idle connections of which it is true, and lets the new ones bring their request soon. The
+// caller holds mu.
+func (s *Server) dismissAll(of func(*clientConn) bool) {
+	for _, l := range s.idle {
+		for e := l.Front(); e != nil; {
+			next := e.Next()
+			if c := e.Value.(*clientConn); of(c) {
+				s.dismiss(c)
+			}
+			e = next
+		}
+	}
+	for e := s.quiet[fresh].Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*clientConn); of(c) {
+			c.SetDeadline(time.Now().Add(drainQuiet))
+		}
+	}
+}
+
+// Wait returns once all connections have ended, or with ctx, when it closes those that are left.
+func (s *Server) Wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Conn.Close()
+	}
+	s.mu.Unlock()
+	return ctx.Err()
+}
+
+// Connections is how many connections of clients there are.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// answer carries out q, whose head was read, and writes its one answer. It reports its status, whether q was admitted, and
+// whether another request may follow on c.
+func (s *Server) answer(c *clientConn, q *clientRequest) (status int, admitted, open bool) {
+	if q.Path == "/healthz" && q.Method == http.MethodGet {
+		open = s.write(c, message.Answer{Status: http.StatusOK}, q.last) && c.reader.skipBody(q)
+		return http.StatusOK, true, open
+	}
+	adm, owner, err := s.handler.Admit(&q.Request)
+	s.setOwner(c, owner)
+	if err != nil {
+		status, open = s.turnAway(c, q, err)
+		return status, false, open && c.reader.skipBody(q)
+	}
+	body, err := c.reader.readBody(c.Conn, q)
+	if err != nil {
+		adm.Release()
+		s.reject(c, err)
+		return 0, true, false
+	}
+	s.setBusy(c)
+	x, err := adm.Take(body)
+	if err != nil {
+		status, open = s.turnAway(c, q, err)
+		return status, false, open
+	}
+	gone := c.reader.watch()
+	var ans message.Answer
+	select {
+	case ans = <-x.Answer():
+	case <-gone:
+		if c.reader.left && x.Withdraw() {
+			return 0, true, false
+		}
+		ans = <-x.Answer()
+	}
+	if !c.reader.unwatch(c, gone) {
+		return 0, true, false
+	}
+	return ans.Status, true, s.write(c, ans, q.last)
+}
+
+// turnAway answers a request that is not taken.
+func (s *Server) turnAway(c *clientConn, q *clientRequest, err error) (status int, open bool) {
+	var bad message.Bad
+	errors.As(err, &bad)
+	open = s.write(c, bad.Answer(), q.last || q.expects)
+	c.SetDeadline(time.Now().Add(requestTime)) // for the rest of its body
+	return bad.Status, open
+}
+
+// write writes an answer, and reports whether another request may follow.
+func (s *Server) write(c *clientConn, ans message.Answer, last bool) (open bool) {
+	s.mu.Lock()
+	last = last || s.closing(c)
+	s.mu.Unlock()
+	var b bytes.Buffer
+	b.Grow(256 + len(ans.Body))
+	b.WriteString("HTTP/1.1 ")
+	b.WriteString(strconv.Itoa(ans.Status))
+	b.WriteByte(' ')
+	b.WriteString(http.StatusText(ans.Status))
+	b.WriteString("\r\n")
+	if ans.Header != nil {
+		ans.Header.Write(&b)
+	}
+	if ans.RetryAfter > 0 {
+		b.WriteString("Retry-After: ")
+		b.WriteString(strconv.FormatFloat(ans.RetryAfter.Seconds(), 'f', -1, 64))
+		b.WriteString("\r\n")
+	}
+	if last {
+		b.WriteString("Connection: close\r\n")
+	}
+	b.WriteString("Content-Length: ")
+	b.WriteString(strconv.Itoa(len(ans.Body)))
+	b.WriteString("\r\n\r\n")
+	b.Write(ans.Body)
+	c.SetDeadline(time.Now().Add(writeTime))
+	_, err := c.Write(b.Bytes())
+	return err == nil && !last
+}
+
+// reject answers a request that could not be read, and reads on for a moment.
+func (s *Server) reject(c *clientConn, err error) {
+	var bad message.Bad
+	if !errors.As(err, &bad) {
+		return // the client has gone
+	}
+	s.write(c, bad.Answer(), true)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		c.SetDeadline(time.Now().Add(lingerTime))
+		io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+}
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,316 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"heathstack/internal/message"
+	"heathstack/internal/proc"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echoHandler answers each request with its id, from the pool that the first letter of its host names.
+type echoHandler struct {
+	mu    sync.Mutex
+	conns map[Owner]int
+}
+
+func (h *echoHandler) Admit(q *message.Request) (Admission, Owner, error) {
+	o := Owner(q.Host[0])
+	if strings.HasPrefix(q.Path, "/full") {
+		return nil, o, message.Bad{Status: 429, Text: "full", RetryAfter: 1500 * time.Millisecond}
+	}
+	return echoAdmission{q}, o, nil
+}
+func (h *echoHandler) Pause(Owner, int) time.Duration { return 0 }
+func (h *echoHandler) Moved(from, to Owner) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns[from]--
+	h.conns[to]++
+}
+func (h *echoHandler) Excess(o Owner) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return int64(h.conns[o])
+}
+
+type echoAdmission struct{ q *message.Request }
+
+func (a echoAdmission) Take(body []byte) (Exchange, error) {
+	return echoExchange(a.q.Header.Get("X-Request-Id") + string(body)), nil
+}
+func (echoAdmission) Release() {}
+
+type echoExchange string
+
+func (e echoExchange) Answer() <-chan message.Answer {
+	c := make(chan message.Answer, 1)
+	c <- message.Answer{Status: 200, Body: []byte(e)}
+	return c
+}
+func (echoExchange) Withdraw() bool { return false }
+
+// running is a server on a loopback socket.
+type running struct {
+	*Server
+	handler *echoHandler
+	addr    string
+}
+
+func start(t *testing.T, descriptors int, wrap func(net.Listener) net.Listener) *running {
+	t.Helper()
+	d := proc.NewDescriptors(descriptors)
+	h := &echoHandler{conns: map[Owner]int{}}
+	s := New(h, d, slog.New(slog.DiscardHandler))
+	d.OnClients(s.Evict)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	at := ln
+	if wrap != nil {
+		at = wrap(ln)
+	}
+	go func() {
+		defer close(ended)
+		s.Serve(ctx, at)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		ln.Close()
+		<-ended
+		s.Wait(ctx)
+		s.done.Wait()
+	})
+	return &running{s, h, ln.Addr().String()}
+}
+
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (r *running) dial(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Logf("no answer: %v", err)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		return &http.Response{}, ""
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+func get(host, id string) string {
+	return "GET /check HTTP/1.1\r\nHost: " + host + "\r\nX-Request-ID: " + id + "\r\n\r\n"
+}
+
+func waitFor(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// hookListener gives connections that call after once they have read something, before their reader gets it.
+type hookListener struct {
+	net.Listener
+	after func()
+}
+
+func (l *hookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookConn{c.(*net.TCPConn), l.after}, nil
+}
+
+type hookConn struct {
+	*net.TCPConn
+	after func()
+}
+
+func (c *hookConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.after()
+	}
+	return n, err
+}
+
+// TestRequestReadBeforeClose guards against closing a connection, for want of descriptors or to drain, of which a
+// request has just been read: the kernel has nothing more of it, and the client takes it for lost.
+func TestRequestReadBeforeClose(t *testing.T) {
+	for name, closing := range map[string]func(*Server){
+		"evict": func(s *Server) { s.Evict() },
+		"drain": func(s *Server) { s.Drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var hooked atomic.Pointer[Server]
+			s := start(t, 256, func(ln net.Listener) net.Listener {
+				return &hookListener{ln, func() {
+					if s := hooked.Load(); s != nil {
+						closing(s)
+					}
+				}}
+			})
+			c := s.dial(t)
+			for _, id := range []string{"first", "next"} {
+				if resp, body := c.ask(t, get("h", id)); resp.StatusCode != 200 || body != id {
+					t.Errorf("%s: got %d %q", id, resp.StatusCode, body)
+				}
+				hooked.Store(s.Server)
+			}
+		})
+	}
+}
+
+// TestSlowHeadsGiveWay guards against clients that begin a request and never end it: while descriptors are wanted they
+// must not hold them for as long as a request may take.
+func TestSlowHeadsGiveWay(t *testing.T) {
+	s := start(t, 64, nil)
+	most := int(proc.ClientMost(64))
+	var slow []*client
+	for range most {
+		c := s.dial(t)
+		io.WriteString(c, "GET /check HTTP/1.1\r\nHost:")
+		slow = append(slow, c)
+	}
+	waitFor(t, "all descriptors of clients to be held by slow heads", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.quiet[reading].Len() >= most-1
+	})
+	waitFor(t, "an answer beside slow heads", func() bool {
+		// A connection that has just come may have to make room before its request is seen; a client then connects anew.
+		resp, body := s.dial(t).ask(t, get("h", "quick"))
+		return resp.StatusCode == 200 && body == "quick"
+	})
+	first := slow[0]
+	if resp, _ := first.ask(t, ""); resp.StatusCode != 0 && resp.StatusCode != 408 {
+		t.Errorf("a slow head was answered %d, want 408 or a close", resp.StatusCode)
+	}
+}
+
+// TestEvictionGoesByExcess guards against taking the connection of a pool that holds few for one that holds many.
+func TestEvictionGoesByExcess(t *testing.T) {
+	s := start(t, 256, nil)
+	meters := s.dial(t)
+	meters.ask(t, get("meters", "m"))
+	var orders []*client
+	for range 3 {
+		c := s.dial(t)
+		c.ask(t, get("orders", "o"))
+		orders = append(orders, c)
+	}
+	waitFor(t, "all to be idle", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.idle['o'] != nil && s.idle['o'].Len() == 3 && s.idle['m'] != nil
+	})
+	if !s.Evict() || !s.Evict() {
+		t.Fatal("nothing was evicted")
+	}
+	for _, c := range orders[:2] { // the ones idle longest
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			t.Errorf("a connection of the pool that holds most brought %v, want its end", err)
+		}
+	}
+	if resp, _ := meters.ask(t, get("meters", "n")); resp.StatusCode != 200 {
+		t.Error("the pool with one connection lost it")
+	}
+	waitFor(t, "the count to go down", func() bool { return s.handler.Excess('o') == 1 })
+}
+
+// TestRefusedUnread guards against holding memory, or another's answer, for the body of a request that is refused by its
+// head: the refusal goes out before the body has come, and the connection can be used again after it.
+func TestRefusedUnread(t *testing.T) {
+	s := start(t, 256, nil)
+	c := s.dial(t)
+	resp, _ := c.ask(t, "POST /full HTTP/1.1\r\nHost: o\r\nContent-Length: 5\r\n\r\n")
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") != "1.5" {
+		t.Fatalf("got %d, Retry-After %q, want 429 and 1.5", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if resp, body := c.ask(t, "abcde"+get("h", "next")); resp.StatusCode != 200 || body != "next" {
+		t.Errorf("got %d %q after the refused body", resp.StatusCode, body)
+	}
+	resp, _ = c.ask(t, "POST /full HTTP/1.1\r\nHost: o\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+	if resp.StatusCode != 429 || !resp.Close {
+		t.Errorf("got %d, close %v: whether the body comes is not known", resp.StatusCode, resp.Close)
+	}
+}
+
+// TestDrainOneListener guards against closing what came in elsewhere.
+func TestDrainOneListener(t *testing.T) {
+	s := start(t, 256, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Serve(context.Background(), ln)
+	}()
+	other := (&running{s.Server, s.handler, ln.Addr().String()}).dial(t)
+	stays := s.dial(t)
+	for _, c := range []*client{other, stays} {
+		if resp, _ := c.ask(t, get("h", "a")); resp.StatusCode != 200 {
+			t.Fatal("not served")
+		}
+	}
+	waitFor(t, "both to be idle", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.idle['h'] != nil && s.idle['h'].Len() == 2
+	})
+	ln.Close()
+	<-ended
+	s.DrainListener(ln)
+	if _, err := other.r.ReadByte(); err != io.EOF {
+		t.Errorf("got %v, want the end", err)
+	}
+	if resp, _ := stays.ask(t, get("h", "b")); resp.StatusCode != 200 {
+		t.Error("a connection of another listener was closed")
+	}
+}
--- /dev/null
+++ b/internal/gateway/backlog.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// drainWindow is how long new connections may go on coming after SIGTERM, and some more.
+	drainWindow = 500 * time.Millisecond
+	// backlogQuiet is how long no connection may come before the backlog counts as empty.
+	backlogQuiet = 50 * time.Millisecond
+)
+
+// backlog is a listener that can be drained: it goes on accepting until a time, and then until no more
+// connections wait. Closing it at once would reset those that the kernel has accepted.
+type backlog struct {
+	*net.TCPListener
+	mu    sync.Mutex
+	until time.Time // zero: not draining
+}
+
+// drain starts the draining; Accept fails once the backlog is empty after until.
+func (b *backlog) drain(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.until = until
+	b.SetDeadline(until.Add(backlogQuiet))
+}
+
+// Accept is the method of net.Listener.
+func (b *backlog) Accept() (net.Conn, error) {
+	b.mu.Lock()
+	if now := time.Now(); !b.until.IsZero() && now.After(b.until) {
+		b.SetDeadline(now.Add(backlogQuiet))
+	}
+	b.mu.Unlock()
+	c, err := b.TCPListener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed // a time-out would make the server try again
+	}
+	return c, err
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+
+	"heathstack/internal/message"
+	"heathstack/internal/proc"
+	"heathstack/internal/route"
+	"heathstack/internal/settings"
+	"heathstack/internal/share"
+	"heathstack/internal/source"
+)
+
+// Config is all that a process is told.
+type Config struct {
+	Name        string
+	MemoryMB    int // the process is killed over it
+	Descriptors int // that the process may hold
+	Listeners   []Listener
+	Pools       []Pool
+	Routes      []route.Route // none: all requests are for the only pool
+}
+
+// Listener is where clients connect.
+type Listener struct{ Name, Address string }
+
+// Pool is what the process is told of one pool. It has either a discovery or a list of its own.
+type Pool struct {
+	Name      string
+	Settings  settings.Settings
+	Discovery string         // address
+	Servers   []source.Entry // if there is no discovery
+	Known     *source.List   // what was last known of discovery's list, or nil
+	Seed      uint64
+	Limits    Limits
+}
+
+// Limits is what a pool may have of the process. Of each resource, half is kept for the pools by their weights; the rest
+// goes to who asks first.
+type Limits struct {
+	Weight      float64 // of this pool beside the others, above 0
+	Rate        float64 // requests a second; 0: no limit
+	Burst       float64 // requests at once beyond the rate
+	Open        int64   // requests open at once; 0: no limit but the whole
+	Bodies      int64   // bytes of bodies of open requests; 0: no limit but the whole
+	Descriptors int64   // connections to servers; 0: no limit but the whole
+	Hold        bool    // requests wait in the module while the list names no server, rather than be refused
+}
+
+const (
+	// LeastMemoryMB and LeastDescriptors are the least that a process can work with.
+	LeastMemoryMB    = 24
+	LeastDescriptors = 64
+	// keptShare is the part of each resource that is kept for the pools by their weights.
+	keptShare = 0.5
+	// bodyShare is the part of the memory that bodies may take: they are held as long as an attempt may need them, beside
+	// answers of the same size, buffers and what is not collected yet.
+	bodyShare = 1.0 / 8
+)
+
+// usable is how many descriptors are left for connections of clients and to servers: each discovery and each listener
+// beyond the first takes one.
+func (c *Config) usable() int {
+	n := c.Descriptors - max(0, len(c.Listeners)-1)
+	watched := 0
+	for _, p := range c.Pools {
+		if p.Discovery != "" {
+			watched++
+		}
+	}
+	return n - max(0, watched-1)
+}
+
+// Check returns all that keeps c from being used, and cannot be seen by looking at one key alone.
+func (c *Config) Check() error {
+	var errs []error
+	if c.MemoryMB < LeastMemoryMB {
+		errs = append(errs, fmt.Errorf("the memory is %d MB, below %d", c.MemoryMB, LeastMemoryMB))
+	}
+	if n := c.usable(); n < LeastDescriptors {
+		errs = append(errs, fmt.Errorf("%d descriptors are left for connections beside listeners and discoveries, below %d", n, LeastDescriptors))
+	}
+	if len(c.Pools) == 0 {
+		errs = append(errs, errors.New("there is no pool"))
+	}
+	names := map[string]bool{}
+	for _, p := range c.Pools {
+		switch {
+		case names[p.Name]:
+			errs = append(errs, fmt.Errorf("pool %q is there twice", p.Name))
+		case !(p.Limits.Weight > 0):
+			errs = append(errs, fmt.Errorf("pool %q has weight %v, not above 0", p.Name, p.Limits.Weight))
+		}
+		names[p.Name] = true
+	}
+	if len(c.Routes) == 0 && len(c.Pools) > 1 {
+		errs = append(errs, errors.New("there are several pools and no route"))
+	}
+	for _, r := range c.Routes {
+		if !names[r.Pool] {
+			errs = append(errs, fmt.Errorf("route %q leads to pool %q, which is not there", r.Name, r.Pool))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// claims are what one pool may have, as share counts it.
+type claims struct {
+	admission          share.Limits
+	descriptors, conns share.Claim
+}
+
+// claims shares what the process has between its pools.
+func (c *Config) claims(p Pool) claims {
+	sum := 0.0
+	for _, q := range c.Pools {
+		sum += q.Limits.Weight
+	}
+	part := p.Limits.Weight / sum * keptShare
+	claim := func(total, most int64) share.Claim {
+		if most == 0 {
+			most = share.NoLimit
+		}
+		return share.Claim{Min: min(int64(float64(total)*part), most), Max: most}
+	}
+	clients := proc.ClientMost(c.usable())
+	return claims{
+		admission: share.Limits{
+			Open: claim(clients, p.Limits.Open), Bodies: claim(c.bodies(), p.Limits.Bodies),
+			Rate: p.Limits.Rate, Burst: p.Limits.Burst, Hold: p.Limits.Hold,
+		},
+		descriptors: claim(proc.ForUpstreams(c.usable()), p.Limits.Descriptors),
+		conns:       claim(clients, 0),
+	}
+}
+
+// bodies is how many bytes of bodies the process may hold.
+func (c *Config) bodies() int64 {
+	return max(message.MostBody, int64(float64(c.MemoryMB<<20)*bodyShare))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,486 @@
+// Package gateway is the process: its listeners, its pools, which of them a request goes to, what they share, reloads and
+// the drain at the end. The data's way is one way: client connection, route, pool, module, upstream connection, and back.
+// The choices are made by packages route, share and policy; this package carries them out. It must not know how a
+// configuration is written down.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"reflect"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heathstack/internal/front"
+	"heathstack/internal/pool"
+	"heathstack/internal/proc"
+	"heathstack/internal/route"
+	"heathstack/internal/share"
+	"heathstack/internal/source"
+	"heathstack/internal/upstream"
+	"heathstack/policy"
+)
+
+const (
+	// drainSlack is what the last answers may take beyond the longest deadline.
+	drainSlack = 150 * time.Millisecond
+	// drainLook is how often a pool that drains is looked at.
+	drainLook = 5 * time.Millisecond
+	// lagEvery is how often the lateness of the process is measured while several pools share its processor.
+	lagEvery = 5 * time.Millisecond
+)
+
+// Gateway is one process.
+type Gateway struct {
+	log         *slog.Logger
+	origin      time.Time
+	descriptors *proc.Descriptors
+	server      *front.Server
+	table       atomic.Pointer[table]
+	several     chan struct{} // closed once there has been more than one pool
+
+	ctx     context.Context // ends with Run
+	stop    context.CancelFunc
+	leaving sync.WaitGroup // pools that are drained and closed
+	open    atomic.Int64   // of them
+
+	applying  sync.Mutex // one configuration at a time
+	cfg       Config
+	listeners map[Listener]*listening
+	lastKey   share.Key
+	stopped   bool
+
+	// What the pools share. No method of a pool is called under shares: pools call back.
+	shares    sync.Mutex
+	admission *share.Admission
+	pacer     *share.Pacer
+	conns     share.Pot
+}
+
+// table is how requests find their pool. It is replaced whole.
+type table struct {
+	routes *route.Table // nil: all requests are for only
+	only   *member
+	pools  map[string]*member
+}
+
+// member is a pool of the process.
+type member struct {
+	key    share.Key
+	module policy.Config // what its clients may be told
+	cfg    Pool          // Gateway.applying
+	pool   *pool.Pool
+	static *source.Static // nil if there is a discovery
+}
+
+// listening is an open listener.
+type listening struct {
+	*backlog
+	ended chan error // of its accepting
+}
+
+// New makes a gateway of cfg. It opens no socket for clients; its pools begin to ask for their lists.
+func New(cfg Config, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{
+		log: log, origin: time.Now().Add(-time.Hour), descriptors: proc.NewDescriptors(cfg.Descriptors),
+		several: make(chan struct{}), listeners: map[Listener]*listening{},
+		admission: share.NewAdmission(0, 0), pacer: share.NewPacer(), conns: share.NewPot(share.NoLimit),
+	}
+	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.server = front.New((*handler)(g), g.descriptors, log)
+	g.descriptors.OnClients(g.server.Evict)
+	g.table.Store(&table{})
+	if err := g.apply(cfg, false); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// Listen opens the listeners.
+func (g *Gateway) Listen() error {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	opened, err := g.openListeners(g.cfg.Listeners)
+	if err != nil {
+		return err
+	}
+	g.serve(opened)
+	return nil
+}
+
+// Addr is where the listener of that name listens, or nil.
+func (g *Gateway) Addr(name string) net.Addr {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	for l, ln := range g.listeners {
+		if l.Name == name {
+			return ln.Addr()
+		}
+	}
+	return nil
+}
+
+// Apply takes over a configuration that has replaced the one in force, under load. Pools that are in it no more drain: what
+// they took is answered, and nothing new comes to them. One whose settings have changed is replaced by a new instance that
+// knows its list; where only its limits, its list or the source of that have changed, the instance stays. With an error all
+// that ran before runs on unchanged.
+func (g *Gateway) Apply(next Config) error {
+	return g.apply(next, true)
+}
+
+func (g *Gateway) apply(next Config, listen bool) error {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	if g.stopped {
+		return errors.New("the process is ending")
+	}
+	if err := next.Check(); err != nil {
+		return err
+	}
+	routes, problems := route.New(next.Routes)
+	if len(problems) > 0 {
+		return problems[0]
+	}
+	var opened map[Listener]*listening
+	if listen {
+		var err error
+		if opened, err = g.openListeners(next.Listeners); err != nil {
+			return err
+		}
+	}
+	before := g.table.Load()
+	now := &table{pools: map[string]*member{}}
+	if len(next.Routes) > 0 {
+		now.routes = routes
+	}
+	var fresh []*member
+	for _, p := range next.Pools {
+		m := before.pools[p.Name]
+		if m == nil || !reflect.DeepEqual(m.cfg.Settings, p.Settings) {
+			var err error
+			if m, err = g.newMember(next, p, m); err != nil {
+				for _, m := range fresh {
+					g.drop(m)
+					m.pool.Close()
+				}
+				for _, ln := range opened {
+					ln.Close()
+				}
+				return fmt.Errorf("pool %q: %w", p.Name, err)
+			}
+			fresh = append(fresh, m)
+		}
+		now.pools[p.Name] = m
+		now.only = m
+	}
+	// Nothing fails from here on.
+	g.resize(next, now)
+	for _, p := range next.Pools {
+		if m := now.pools[p.Name]; !slices.Contains(fresh, m) {
+			m.setSource(p)
+			m.cfg = p
+		}
+	}
+	g.table.Store(now)
+	for name, m := range before.pools {
+		if now.pools[name] != m {
+			g.retire(m)
+		}
+	}
+	if len(now.pools) > 1 {
+		select {
+		case <-g.several:
+		default:
+			close(g.several)
+		}
+	}
+	if listen {
+		for l, ln := range g.listeners {
+			if !slices.Contains(next.Listeners, l) {
+				delete(g.listeners, l)
+				g.closeListener(l, ln)
+			}
+		}
+		g.serve(opened)
+	}
+	g.cfg = next
+	return nil
+}
+
+// newMember starts a pool, which takes the place of old if there is one.
+func (g *Gateway) newMember(c Config, p Pool, old *member) (*member, error) {
+	g.lastKey++
+	m := &member{key: g.lastKey, module: p.Settings.Config, cfg: p}
+	up := upstream.New(p.Settings.Config, g.descriptors.Pool(m.key))
+	cl := c.claims(p)
+	// Its parts are set before it starts, as it may probe at once; of what is taken by others it may find little left
+	// until resize.
+	g.descriptors.Set(m.key, cl.descriptors, up.Evict)
+	g.shares.Lock()
+	g.admission.Set(g.now(), m.key, cl.admission)
+	g.conns.Set(m.key, cl.conns)
+	g.pacer.Set(m.key, p.Limits.Weight)
+	g.shares.Unlock()
+	known := p.Known
+	if old != nil {
+		known = old.pool.Known()
+	}
+	cfg := pool.Config{
+		Name: p.Name, Settings: p.Settings, Known: known, Seed: p.Seed, Ready: func(n int) {
+			g.shares.Lock()
+			defer g.shares.Unlock()
+			g.admission.Ready(m.key, n)
+		},
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	if p.Discovery != "" {
+		cfg.Source = source.Discovery(p.Discovery)
+	} else {
+		m.static = source.NewStatic(p.Servers)
+		cfg.Source, cfg.Known = m.static, m.static.List()
+	}
+	log := g.log
+	if len(c.Pools) > 1 {
+		log = log.With("pool", p.Name)
+	}
+	var err error
+	if m.pool, err = pool.New(cfg, up, log); err != nil {
+		g.drop(m)
+		return nil, err
+	}
+	return m, nil
+}
+
+// setSource takes over where the list of a pool that stays comes from.
+func (m *member) setSource(p Pool) {
+	switch {
+	case p.Discovery != "":
+		if p.Discovery != m.cfg.Discovery {
+			m.static = nil
+			m.pool.SetSource(source.Discovery(p.Discovery))
+		}
+	case m.static == nil:
+		m.static = source.NewStatic(p.Servers)
+		m.pool.SetSource(m.static)
+	case !reflect.DeepEqual(p.Servers, m.cfg.Servers):
+		m.static.Set(p.Servers)
+	}
+}
+
+// resize gives all pools of t their parts of what the process has.
+func (g *Gateway) resize(c Config, t *table) {
+	g.descriptors.Resize(c.usable())
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	g.admission.Resize(proc.ClientMost(c.usable()), c.bodies())
+	for _, p := range c.Pools {
+		m, cl := t.pools[p.Name], c.claims(p)
+		g.descriptors.Claim(m.key, cl.descriptors)
+		g.admission.Set(g.now(), m.key, cl.admission)
+		g.conns.Set(m.key, cl.conns)
+		g.pacer.Set(m.key, p.Limits.Weight)
+	}
+}
+
+// drop ends all claims of a pool. What it still holds is given back as it ends.
+func (g *Gateway) drop(m *member) {
+	g.descriptors.Drop(m.key)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	g.admission.Drop(m.key)
+	g.conns.Drop(m.key)
+	g.pacer.Drop(m.key)
+}
+
+// retire ends a pool once what it took is answered. Its requests may go on to open connections, within what is left over.
+func (g *Gateway) retire(m *member) {
+	g.shares.Lock()
+	g.admission.Drop(m.key)
+	g.conns.Drop(m.key)
+	g.pacer.Drop(m.key)
+	g.shares.Unlock()
+	g.descriptors.Claim(m.key, share.Claim{Max: share.NoLimit})
+	g.log.Info("pool drains", "pool", m.cfg.Name, "load", m.pool.String())
+	g.open.Add(1)
+	g.leaving.Go(func() {
+		defer g.open.Add(-1)
+		ctx, cancel := context.WithTimeout(g.ctx, m.pool.Longest()+drainSlack)
+		defer cancel()
+		err := g.awaitEmpty(ctx, m)
+		m.pool.Close()
+		g.descriptors.Drop(m.key)
+		g.log.Info("pool removed", "pool", m.cfg.Name, "err", err)
+	})
+}
+
+// awaitEmpty returns once pool m, to which nothing new is led, has neither a request nor one whose body is still to come.
+func (g *Gateway) awaitEmpty(ctx context.Context, m *member) error {
+	tick := time.NewTicker(drainLook)
+	defer tick.Stop()
+	for {
+		requests, _, _ := m.pool.Load()
+		g.shares.Lock()
+		admitted := g.admission.Open(m.key)
+		g.shares.Unlock()
+		if requests == 0 && admitted == 0 {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// openListeners opens those of want that are not open yet.
+func (g *Gateway) openListeners(want []Listener) (map[Listener]*listening, error) {
+	opened := map[Listener]*listening{}
+	for _, l := range want {
+		if g.listeners[l] != nil {
+			continue
+		}
+		ln, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			for _, ln := range opened {
+				ln.Close()
+			}
+			return nil, fmt.Errorf("listener %q: %w", l.Name, err)
+		}
+		opened[l] = &listening{&backlog{TCPListener: ln.(*net.TCPListener)}, make(chan error, 1)}
+	}
+	return opened, nil
+}
+
+// serve accepts connections at listeners.
+func (g *Gateway) serve(opened map[Listener]*listening) {
+	for l, ln := range opened {
+		g.listeners[l] = ln
+		g.log.Info("ready", "name", g.cfg.Name, "listen", ln.Addr().String(), "listener", l.Name, "load", g.String())
+		go func() { ln.ended <- g.server.Serve(g.ctx, ln) }()
+	}
+}
+
+// closeListener drains a listener and the connections that came in there.
+func (g *Gateway) closeListener(l Listener, ln *listening) {
+	ln.drain(time.Now().Add(drainWindow))
+	g.leaving.Go(func() {
+		<-ln.ended
+		ln.Close()
+		g.server.DrainListener(ln)
+		g.log.Info("listener closed", "listener", l.Name)
+	})
+}
+
+// Run serves until ctx ends, and then drains. It returns once all that was taken is answered. Listen comes before it.
+func (g *Gateway) Run(ctx context.Context) error {
+	go g.measureLag()
+	defer g.Close()
+	<-ctx.Done()
+	g.log.Info("draining", "load", g.String())
+	g.applying.Lock()
+	g.stopped = true
+	longest := time.Duration(0)
+	for _, m := range g.table.Load().pools {
+		longest = max(longest, m.pool.Longest())
+	}
+	end, cancel := context.WithTimeout(context.Background(), drainWindow+longest+drainSlack)
+	defer cancel()
+	// Answers close their connections from here on, and idle ones are closed: a request that crosses that
+	// comes again on a new connection, which is still accepted.
+	g.server.Drain()
+	until := time.Now().Add(drainWindow)
+	for _, ln := range g.listeners {
+		ln.drain(until)
+	}
+	for _, ln := range g.listeners {
+		select {
+		case <-ln.ended: // the backlog is empty
+		case <-end.Done():
+		}
+		ln.Close()
+	}
+	g.applying.Unlock()
+	err := g.server.Wait(end)
+	g.log.Info("drained", "load", g.String(), "err", err)
+	return nil
+}
+
+// Close ends all at once. It is for a gateway that does not run, or has run.
+func (g *Gateway) Close() {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	g.stopped = true
+	g.stop()
+	for l, ln := range g.listeners {
+		ln.Close()
+		delete(g.listeners, l)
+	}
+	t := g.table.Load()
+	for _, m := range t.pools {
+		m.pool.Close()
+	}
+	g.leaving.Wait()
+}
+
+// measureLag tells the pacer how late the process is, while several pools share it.
+func (g *Gateway) measureLag() {
+	select {
+	case <-g.several:
+	case <-g.ctx.Done():
+		return
+	}
+	tick := time.NewTimer(lagEvery)
+	defer tick.Stop()
+	for {
+		due := time.Now().Add(lagEvery)
+		tick.Reset(lagEvery)
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		lag := time.Since(due)
+		g.shares.Lock()
+		g.pacer.Lag(lag)
+		g.shares.Unlock()
+	}
+}
+
+// now is the clock of what the pools share.
+func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
+
+// Load is what the process holds.
+type Load struct {
+	Pools, Draining           int // the latter: old ones on their way out
+	Requests, Timers, Servers int
+	Clients                   int // their connections
+	Goroutines                int
+}
+
+// Load tells what the process holds.
+func (g *Gateway) Load() Load {
+	l := Load{Draining: int(g.open.Load()), Clients: g.server.Connections(), Goroutines: runtime.NumGoroutine()}
+	for _, m := range g.table.Load().pools {
+		r, t, s := m.pool.Load()
+		l.Pools, l.Requests, l.Timers, l.Servers = l.Pools+1, l.Requests+r, l.Timers+t, l.Servers+s
+	}
+	return l
+}
+
+// String describes the load for logs.
+func (g *Gateway) String() string {
+	l := g.Load()
+	return fmt.Sprintf("%d pools, %d draining, %d requests, %d timers, %d upstreams, %d clients, %d goroutines",
+		l.Pools, l.Draining, l.Requests, l.Timers, l.Servers, l.Clients, l.Goroutines)
+}
--- /dev/null
+++ b/internal/gateway/handler.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"heathstack/internal/front"
+	"heathstack/internal/message"
+	"heathstack/internal/pool"
+	"heathstack/internal/route"
+	"heathstack/internal/share"
+)
+
+// handler is what a Gateway is to the connections of its clients.
+type handler Gateway
+
+// bodyWork is how many bytes of a body are as much work as a request without one.
+const bodyWork = 8 << 10
+
+// find returns the pool of a request, and its path below the route.
+func (t *table) find(q *message.Request) (*member, string, error) {
+	if t.routes == nil {
+		return t.only, q.Path, nil
+	}
+	m, rest, err := t.routes.Find(q.Host, q.Path, q.URI)
+	if err != nil {
+		status := http.StatusBadRequest
+		switch {
+		case errors.Is(err, route.ErrUnknownHost):
+			status = http.StatusMisdirectedRequest
+		case errors.Is(err, route.ErrUnknownPath):
+			status = http.StatusNotFound
+		}
+		return nil, "", message.Bad{Status: status, Text: err.Error()}
+	}
+	q.URI = m.Below(q.URI)
+	return t.pools[m.Pool], rest, nil
+}
+
+// Admit is the method of front.Handler.
+func (h *handler) Admit(q *message.Request) (front.Admission, front.Owner, error) {
+	g := (*Gateway)(h)
+	m, rest, err := g.table.Load().find(q)
+	if err != nil {
+		return nil, 0, err
+	}
+	owner := front.Owner(m.key)
+	room := q.Length
+	if room < 0 {
+		room = message.MostBody
+	}
+	ask, err := m.pool.Legal(q, rest)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	now := g.now()
+	g.pacer.Worked(now, m.key, 1+float64(room)/bodyWork)
+	if err != nil {
+		return nil, owner, err
+	}
+	if v := g.admission.Ask(now, m.key, room); v.Reason != share.Admitted {
+		return nil, owner, refusal(m, v)
+	}
+	return &admission{g: g, m: m, q: q, ask: ask, room: room}, owner, nil
+}
+
+// refusal is what a client is told whose request is not admitted.
+func refusal(m *member, v share.Verdict) message.Bad {
+	bad := message.Bad{Status: http.StatusServiceUnavailable, Text: v.Reason.String()}
+	if v.Reason == share.OverRate || v.Reason == share.OverOpen {
+		bad.Status = http.StatusTooManyRequests
+	}
+	if cfg := m.module; cfg.HintsRetry {
+		bad.RetryAfter = v.RetryAfter
+		if cfg.MaxRetryAfter > 0 {
+			bad.RetryAfter = min(bad.RetryAfter, cfg.MaxRetryAfter)
+		}
+	}
+	return bad
+}
+
+// Pause is the method of front.Handler.
+func (h *handler) Pause(o front.Owner, refused int) time.Duration {
+	g := (*Gateway)(h)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	return g.pacer.Pause(g.now(), share.Key(o), refused)
+}
+
+// Moved is the method of front.Handler.
+func (h *handler) Moved(from, to front.Owner) {
+	g := (*Gateway)(h)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	g.conns.Give(share.Key(from), 1)
+	g.conns.Take(share.Key(to), 1) // it has no limit: it only tells who has how many
+}
+
+// Excess is the method of front.Handler.
+func (h *handler) Excess(o front.Owner) int64 {
+	g := (*Gateway)(h)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	return g.conns.Excess(share.Key(o))
+}
+
+// admission is a request that its pool's limits let in.
+type admission struct {
+	g    *Gateway
+	m    *member
+	q    *message.Request
+	ask  pool.Ask
+	room int64
+}
+
+// Take is the method of front.Admission.
+func (a *admission) Take(body []byte) (front.Exchange, error) {
+	a.q.Body = body
+	if unused := a.room - int64(len(body)); unused > 0 {
+		a.g.shares.Lock()
+		a.g.admission.Trim(a.m.key, unused)
+		a.g.shares.Unlock()
+		a.room -= unused
+	}
+	x, err := a.m.pool.Take(a.q, a.ask, a.Release)
+	if err != nil {
+		a.Release()
+		return nil, err
+	}
+	return x, nil
+}
+
+// Release is the method of front.Admission.
+func (a *admission) Release() {
+	a.g.shares.Lock()
+	defer a.g.shares.Unlock()
+	a.g.admission.Done(a.m.key, a.room)
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,69 @@
+// Package message holds what passes between a client's connection and a pool: requests as they were read, and their
+// answers. It knows neither sockets nor pools.
+package message
+
+import (
+	"net/http"
+	"strings"
+	"time"
+)
+
+// MostBody is the longest body that the protocol allows, of a request as of an answer.
+const MostBody = 64 << 10
+
+// Request is a client's request.
+type Request struct {
+	Method string
+	URI    string // as the client wrote it
+	Path   string // its path, decoded
+	Host   string // as the client wrote it
+	Header http.Header
+	Length int64 // of the body; -1: chunked
+	Body   []byte
+}
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Status     int
+	RetryAfter time.Duration
+	Header     http.Header
+	Body       []byte
+}
+
+// Bad is a request that is turned away before any server could have had it, and why. Status is 400 to 599.
+type Bad struct {
+	Status     int
+	Text       string
+	RetryAfter time.Duration
+}
+
+func (b Bad) Error() string { return b.Text }
+
+// Answer is what the client is told.
+func (b Bad) Answer() Answer {
+	return Answer{Status: b.Status, RetryAfter: b.RetryAfter, Body: []byte(b.Text + "\n")}
+}
+
+// Refused reports whether asking again may help.
+func (b Bad) Refused() bool {
+	return b.Status == http.StatusTooManyRequests || b.Status == http.StatusServiceUnavailable
+}
+
+// hopHeaders concern one connection only (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Forwarded takes from h what concerns one connection only.
+func Forwarded(h http.Header) http.Header {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+	return h
+}
--- a/internal/sidecar/ids.go
+++ b/internal/pool/ids.go
@@ -1,4 +1,4 @@
-package sidecar
+package pool
 
 import (
 	"time"
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,485 @@
+// Package pool is the host of one instance of the decision module: it turns what happens on sockets into the module's
+// events, and the module's actions into traffic to the pool's servers. A pool has its own list of servers, settings,
+// requests and timers, and knows of no other pool, nor of who asks it. It picks no server, and neither retries, hedges,
+// refuses nor ejects by itself.
+package pool
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"heathstack/internal/message"
+	"heathstack/internal/settings"
+	"heathstack/internal/source"
+	"heathstack/internal/upstream"
+	"heathstack/policy"
+)
+
+// longAgo lies between the clock's origin and the process's start. It keeps every present time far from
+// zero, which the module takes for 'never'.
+const longAgo = time.Hour
+
+// Config is what a pool is told at its start.
+type Config struct {
+	Name     string
+	Settings settings.Settings
+	Source   source.Source
+	Known    *source.List // the list as it was last known, perhaps out of date; nil: none
+	Seed     uint64
+	// Ready is told how many ready servers the list names, at the start and whenever that may have changed. It is called
+	// under the pool's lock, and must not call the pool.
+	Ready func(servers int)
+}
+
+// Pool owns a Balancer. All that is below mu is touched only under it.
+type Pool struct {
+	settings settings.Settings
+	log      *slog.Logger
+	ctx      context.Context // ends with the pool
+	stop     context.CancelFunc
+	origin   time.Time // of the module's clock
+	originMs int64     // the same instant in Unix milliseconds, read once: see started
+	up       *upstream.Conns
+	longest  time.Duration
+	effects  map[string]policy.Effect // by class
+	tell     func(servers int)
+	work     sync.WaitGroup // goroutines; added to under mu while not closed
+
+	mu        sync.Mutex
+	balancer  *policy.Balancer
+	requests  map[policy.RequestID]*request // until they have ended and their attempts are back
+	lastID    policy.RequestID
+	ids       openIDs                            // of requests
+	peers     map[policy.ServerID]*upstream.Peer // the upstreams that are listed
+	entries   map[policy.ServerID]source.Entry   // what the list says of them
+	source    source.Source
+	seq       int64              // of the last list message
+	stopWatch context.CancelFunc // nil while there is no watch
+	probing   int                // probes under way
+	timers    timerHeap
+	alarm     *time.Timer // fires when the first timer is due
+	alarmAt   policy.Time // zero: not set
+	after     []func(now policy.Time)
+	closed    bool // nothing more is to happen
+}
+
+// request is one request of a client, from its last byte until all its attempts are back.
+type request struct {
+	id       policy.RequestID
+	name     string // its X-Request-ID
+	method   string
+	uri      string // as it goes on
+	host     string
+	header   http.Header
+	body     []byte
+	free     func() // gives the room of body back
+	answer   chan message.Answer
+	attempts []*attempt
+	out      int
+	ended    bool
+}
+
+// New starts a pool whose connections are up. It ends with Close.
+func New(cfg Config, up *upstream.Conns, log *slog.Logger) (*Pool, error) {
+	module := cfg.Settings.Config
+	module.Pushed = false // on sockets the agent that has what was pushed must be asked too
+	b, err := policy.New(module, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	origin := time.Now().Add(-longAgo)
+	p := &Pool{
+		settings: cfg.Settings, log: log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), up: up,
+		source: cfg.Source, balancer: b, requests: map[policy.RequestID]*request{}, tell: cfg.Ready,
+		peers: map[policy.ServerID]*upstream.Peer{}, entries: map[policy.ServerID]source.Entry{},
+		effects: map[string]policy.Effect{},
+	}
+	for _, c := range cfg.Settings.Config.Classes {
+		p.effects[c.Name] = c.Effect
+		p.longest = max(p.longest, c.Deadline)
+	}
+	if p.longest == 0 {
+		p.longest = mostWait
+	}
+	p.ids = newOpenIDs(p.longest)
+	p.alarm = time.AfterFunc(longAgo, p.ring)
+	p.alarm.Stop()
+	known := cfg.Known
+	if known == nil {
+		known = &source.List{Seq: new(int64)} // nothing is known: the source is to be asked all the same
+	}
+	p.work.Go(func() { up.Sweep(ctx) })
+	p.event(func(now policy.Time) { p.members(now, policy.ListCached, known) })
+	return p, nil
+}
+
+// Longest is the longest deadline of the pool's classes.
+func (p *Pool) Longest() time.Duration { return p.longest }
+
+// Close ends the pool, of which nothing is wanted any more, and returns once its goroutines have ended.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.alarm.Stop()
+	for _, r := range p.requests {
+		for _, a := range r.attempts {
+			a.cancel()
+		}
+		if !r.ended { // whoever closes a pool that is not drained still owes an answer
+			r.ended = true
+			r.answer <- message.Answer{Status: http.StatusBadGateway}
+		}
+		r.free()
+	}
+	p.requests = nil
+	for _, to := range p.peers {
+		p.up.Retire(to)
+	}
+	p.mu.Unlock()
+	p.stop()
+	p.work.Wait()
+}
+
+// spawn runs f in a goroutine that Close waits for. The caller holds mu.
+func (p *Pool) spawn(f func()) {
+	if !p.closed {
+		p.work.Go(f)
+	}
+}
+
+// now reads the module's clock. Only event may do so for an event's time: read outside the lock, it could
+// run backwards from one event to the next.
+func (p *Pool) now() policy.Time { return time.Since(p.origin) }
+
+// event runs f, which hands one event to the balancer, and then those that f's actions gave rise to.
+func (p *Pool) event(f func(now policy.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	f(p.now())
+	for len(p.after) > 0 {
+		next := p.after
+		p.after = nil
+		for _, f := range next {
+			f(p.now())
+		}
+	}
+}
+
+// errClosed is what a request finds that comes after the pool has ended. It has run nowhere.
+var errClosed = message.Bad{Status: http.StatusServiceUnavailable, Text: "the pool is being removed", RetryAfter: 100 * time.Millisecond}
+
+// take hands a request, whose last byte has just come, to the module. It takes none whose id another has that is open.
+func (p *Pool) take(r *request, q policy.Request, timeout time.Duration) error {
+	var err error = errClosed
+	p.event(func(now policy.Time) {
+		err = nil
+		if !p.ids.open(now, r.name) {
+			err = errIDInUse
+			return
+		}
+		p.lastID++
+		r.id = p.lastID
+		p.requests[r.id] = r
+		q.ID, q.Expires = r.id, now+timeout
+		p.balancer.Request(now, q, p)
+	})
+	return err
+}
+
+// withdraw tells the module that the client has left, and reports whether the request was still open.
+func (p *Pool) withdraw(r *request) (open bool) {
+	p.event(func(now policy.Time) {
+		if r.ended {
+			return
+		}
+		open, r.ended = true, true
+		p.balancer.Withdrawn(now, r.id, p)
+		p.forget(r)
+	})
+	return open
+}
+
+// end gives r its final answer. It guards against a second one.
+func (p *Pool) end(r *request, a message.Answer) {
+	if r == nil || r.ended {
+		return
+	}
+	r.ended = true
+	r.answer <- a
+	p.after = append(p.after, func(policy.Time) { p.forget(r) })
+}
+
+// forget drops a request that has ended once no attempt needs its body any more.
+func (p *Pool) forget(r *request) {
+	if !r.ended || r.out > 0 || p.requests[r.id] != r {
+		return
+	}
+	delete(p.requests, r.id)
+	p.ids.close(p.now(), r.name)
+	r.body = nil
+	r.free()
+}
+
+// settle takes the end of an attempt: with OK, ans is its answer.
+func (p *Pool) settle(a *attempt, status policy.Status, load *policy.Load, ans message.Answer) {
+	p.event(func(now policy.Time) { p.settled(now, a, status, load, ans) })
+}
+
+func (p *Pool) settled(now policy.Time, a *attempt, status policy.Status, load *policy.Load, ans message.Answer) {
+	r := a.req
+	if a.done { // guards against a second outcome of one attempt
+		return
+	}
+	a.done = true
+	r.out--
+	if status == policy.OK && !r.ended {
+		r.ended = true
+		r.answer <- ans
+	}
+	p.balancer.Outcome(now, policy.Outcome{
+		ID: r.id, Attempt: a.number, Server: a.server, Status: status, Delay: now - a.sent,
+		Closed: r.ended, Load: load,
+	}, p)
+	p.forget(r)
+}
+
+// The methods of policy.Actions. The balancer calls them under mu, so they never block, and report what
+// comes of them through after or from a goroutine of their own.
+
+func (p *Pool) Send(id policy.RequestID, server policy.ServerID, timeout time.Duration) {
+	r := p.requests[id]
+	if r == nil {
+		return
+	}
+	now := time.Now()
+	a := &attempt{req: r, number: len(r.attempts), server: server, sent: now.Sub(p.origin), deadline: now.Add(timeout)}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	to, listed := p.peers[server]
+	if r.ended || !listed || timeout <= 0 {
+		p.after = append(p.after, func(now policy.Time) { p.settled(now, a, policy.Moot, nil, message.Answer{}) })
+		return
+	}
+	p.spawn(func() { p.attempt(a, to) })
+}
+
+func (p *Pool) Refuse(id policy.RequestID, retryAfter time.Duration) {
+	p.end(p.requests[id], message.Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter})
+}
+
+func (p *Pool) Fail(id policy.RequestID) {
+	p.end(p.requests[id], message.Answer{Status: http.StatusBadGateway})
+}
+
+func (p *Pool) Cancel(id policy.RequestID, attempt int) {
+	if r := p.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		r.attempts[attempt].cancel()
+	}
+}
+
+func (p *Pool) HangUp(server policy.ServerID) {
+	if to := p.peers[server]; to != nil {
+		p.up.HangUp(to)
+	}
+}
+
+func (p *Pool) Log(text string) { p.log.Info("policy: " + text) }
+
+func (p *Pool) SetTimer(after time.Duration, token string) {
+	at := p.now() + max(0, after)
+	heap.Push(&p.timers, timer{at, token})
+	p.setAlarm()
+}
+
+// setAlarm makes the alarm ring when the first timer is due.
+func (p *Pool) setAlarm() {
+	if len(p.timers) > 0 && (p.alarmAt == 0 || p.timers[0].at < p.alarmAt) {
+		p.alarmAt = p.timers[0].at
+		p.alarm.Reset(max(0, p.alarmAt-p.now()))
+	}
+}
+
+// ring hands the timers that are due to the module, all in one go.
+func (p *Pool) ring() {
+	p.event(func(now policy.Time) {
+		p.alarmAt = 0
+		var due []string
+		for len(p.timers) > 0 && p.timers[0].at <= now {
+			due = append(due, heap.Pop(&p.timers).(timer).token)
+		}
+		for _, token := range due {
+			p.balancer.Timer(now, token, p)
+		}
+		p.setAlarm()
+	})
+}
+
+type timer struct {
+	at    policy.Time
+	token string
+}
+
+// timerHeap implements heap.Interface, the timer that is due first at its top.
+type timerHeap []timer
+
+func (t timerHeap) Len() int           { return len(t) }
+func (t timerHeap) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timerHeap) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timerHeap) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{} // lets go of the token
+	*t = (*t)[:last]
+	return x
+}
+
+// members hands a message about the server list to the module.
+func (p *Pool) members(now policy.Time, kind policy.ListKind, l *source.List) {
+	p.seq = *l.Seq
+	servers := make([]policy.Server, len(l.Hosts))
+	listed := make(map[policy.ServerID]bool, len(l.Hosts))
+	for i, e := range l.Hosts {
+		id := policy.ServerID(e.Host)
+		listed[id] = true
+		servers[i] = policy.Server{
+			ID: id, State: source.States[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Started: p.started(e.BornMs),
+		}
+		p.setPeer(id, servers[i], e)
+	}
+	if kind != policy.ListDelta {
+		for id := range p.peers {
+			if !listed[id] {
+				p.setPeer(id, policy.Server{State: policy.Gone}, source.Entry{})
+			}
+		}
+	}
+	if p.tell != nil {
+		ready := 0
+		for _, e := range p.entries {
+			if source.States[e.Health] == policy.Ready {
+				ready++
+			}
+		}
+		p.tell(ready)
+	}
+	p.balancer.Members(now, kind, servers, p)
+}
+
+// setPeer notes what the list says of an upstream. One that restarts, moves or goes loses its connections: another
+// process may stand at its address by now.
+func (p *Pool) setPeer(id policy.ServerID, s policy.Server, e source.Entry) {
+	to := p.peers[id]
+	if to != nil && (s.State == policy.Gone || to.Addr() != e.Dial || to.Started() != s.Started) {
+		delete(p.peers, id)
+		p.up.Retire(to)
+		to = nil
+	}
+	p.entries[id] = e
+	switch {
+	case s.State == policy.Gone:
+		delete(p.entries, id)
+	case to == nil:
+		p.peers[id] = upstream.NewPeer(e.Dial, s.Started)
+	case s.State == policy.Draining:
+		p.up.HangUp(to)
+	}
+}
+
+// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask
+// again is for the module to say.
+func (p *Pool) Watch(on bool) {
+	if p.stopWatch != nil {
+		p.stopWatch()
+		p.stopWatch = nil
+	}
+	if !on {
+		return
+	}
+	ctx, cancel := context.WithCancel(p.ctx)
+	p.stopWatch = cancel
+	since, from := p.seq, p.source
+	p.spawn(func() {
+		err := from.Watch(ctx, since, func(l *source.List) {
+			kind := policy.ListDelta
+			if l.Whole {
+				kind = policy.ListFull
+			}
+			p.event(func(now policy.Time) {
+				if ctx.Err() == nil {
+					p.members(now, kind, l)
+				}
+			})
+		})
+		p.event(func(now policy.Time) {
+			if ctx.Err() != nil { // called off
+				return
+			}
+			cancel()
+			p.stopWatch = nil
+			p.log.Warn("watch on discovery ended", "err", err)
+			p.balancer.Members(now, policy.ListFailed, nil, p)
+		})
+	})
+}
+
+// SetSource makes another source that of the list, and has the module ask there. The list in force stays until it tells.
+func (p *Pool) SetSource(from source.Source) {
+	p.event(func(now policy.Time) {
+		p.source = from
+		p.seq = 0 // whatever stands there may count otherwise
+		if p.stopWatch != nil {
+			p.stopWatch()
+			p.stopWatch = nil
+		}
+		p.balancer.Members(now, policy.ListMoved, nil, p)
+	})
+}
+
+// Known is the list in force, for an instance that takes this one's place.
+func (p *Pool) Known() *source.List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &source.List{Seq: new(int64), Whole: true}
+	for _, e := range p.entries {
+		l.Hosts = append(l.Hosts, e)
+	}
+	return l
+}
+
+// started is the module's time of a Unix time in milliseconds. It guards against a server that seems to have
+// restarted because its time was converted anew by a wall clock that has since been set: equal times stay
+// equal, and only 0 is long ago.
+func (p *Pool) started(bornMs int64) policy.Time {
+	if bornMs == 0 {
+		return 0
+	}
+	const most = int64(1e12) // about 30 years either way: more would overflow, and none is real
+	ms := min(max(bornMs-p.originMs, -most), most)
+	if ms == 0 {
+		return 1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Load is how many requests the pool has, how many timers run for it and how many servers its list names.
+func (p *Pool) Load() (requests, timers, servers int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.requests), len(p.timers), len(p.peers)
+}
+
+// String describes the pool's load for logs.
+func (p *Pool) String() string {
+	requests, timers, servers := p.Load()
+	return fmt.Sprintf("%d requests, %d timers, %d upstreams", requests, timers, servers)
+}
--- a/internal/sidecar/probe.go
+++ b/internal/pool/probe.go
@@ -1,4 +1,4 @@
-package sidecar
+package pool
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"time"
 
 	"heathstack/internal/settings"
+	"heathstack/internal/upstream"
 	"heathstack/policy"
 )
 
@@ -28,41 +29,41 @@
 )
 
 // Probe is a method of policy.Actions.
-func (h *host) Probe(server policy.ServerID) {
-	sent := h.now()
-	p, listed := h.peers[server]
-	if !listed || h.probing >= mostProbes {
-		h.after = append(h.after, func(now policy.Time) {
-			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, h)
+func (p *Pool) Probe(server policy.ServerID) {
+	sent := p.now()
+	to, listed := p.peers[server]
+	if !listed || p.probing >= mostProbes {
+		p.after = append(p.after, func(now policy.Time) {
+			p.balancer.Probed(now, policy.ProbeResult{Server: server, Status: policy.Moot}, p)
 		})
 		return
 	}
-	h.probing++
-	go func() {
-		status, load := h.probe(p)
-		h.event(func(now policy.Time) {
-			h.probing--
-			h.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, h)
+	p.probing++
+	p.spawn(func() {
+		status, load := p.probe(to)
+		p.event(func(now policy.Time) {
+			p.probing--
+			p.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, p)
 		})
-	}()
+	})
 }
 
 // probe asks an upstream for its load.
-func (h *host) probe(p *peer) (policy.Status, *policy.Load) {
-	c, err := h.up.connect(context.Background(), p, time.Now().Add(probeTimeout))
-	var noSocket errNoSocket
+func (p *Pool) probe(to *upstream.Peer) (policy.Status, *policy.Load) {
+	c, err := p.up.Connect(context.Background(), to, time.Now().Add(probeTimeout))
+	var noSocket upstream.NoDescriptor
 	switch {
 	case errors.As(err, &noSocket):
 		return policy.Moot, nil
 	case err != nil:
 		return policy.ConnectFailed, nil
 	}
-	resp, err := c.exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: p.addr})
+	resp, err := c.Exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: to.Addr()})
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, mostReport))
 	}
-	var notWritten errNotWritten
+	var notWritten upstream.NotWritten
 	switch {
 	case err == nil:
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -78,11 +79,11 @@
 	if resp.Close || len(body) == mostReport {
 		c.Close()
 	} else {
-		h.up.keep(c)
+		p.up.Keep(c)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return policy.OK, parseLoad(string(body), h.settings.Fields)
+		return policy.OK, parseLoad(string(body), p.settings.Fields)
 	case http.StatusServiceUnavailable:
 		return policy.Full, nil
 	}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+
+	"heathstack/internal/gateway"
+)
+
+// Sidecar is one real sidecar of the platform: a gateway with one pool.
+type Sidecar struct {
+	*gateway.Gateway
+	cfg Config
+	log *slog.Logger
+}
+
+// poolName is the name of the only pool.
+const poolName = "platform"
+
+// gatewayConfig is cfg as the process takes it. Requests wait in the module for the platform's first list.
+func (c *Config) gatewayConfig() gateway.Config {
+	return gateway.Config{
+		Name: c.Name, MemoryMB: c.MemoryMB, Descriptors: c.Sockets,
+		Listeners: []gateway.Listener{{Name: c.Name, Address: c.Listen}},
+		Pools: []gateway.Pool{{
+			Name: poolName, Settings: c.Settings, Discovery: c.Discovery, Known: c.Known, Seed: c.Seed,
+			Limits: gateway.Limits{Weight: 1, Hold: true},
+		}},
+	}
+}
+
+// New makes a sidecar. It opens no socket for clients.
+func New(cfg Config, log *slog.Logger) (*Sidecar, error) {
+	g, err := gateway.New(cfg.gatewayConfig(), log)
+	if err != nil {
+		return nil, err
+	}
+	return &Sidecar{g, cfg, log}, nil
+}
+
+// Reload takes over a configuration that has replaced the one in force. Discovery may move under load; the environment
+// is the same as at the start, so that where the file names another address than it did, the file is right. What else
+// has changed waits for the next start, and the log says so: the platform tells it to a new process.
+// Reload must not be called from two goroutines at once.
+func (s *Sidecar) Reload(next Config) {
+	if next.filed != s.cfg.filed && next.filed != "" {
+		s.log.Info("discovery has moved", "from", s.cfg.Discovery, "to", next.filed)
+		moved := s.cfg
+		moved.Discovery, moved.filed = next.filed, next.filed
+		if err := s.Apply(moved.gatewayConfig()); err != nil {
+			s.log.Error("reload: the running configuration stays in force", "err", err)
+			return
+		}
+		s.cfg = moved
+	}
+	for what, changed := range map[string]bool{
+		"name": next.Name != s.cfg.Name, "listen": next.Listen != s.cfg.Listen,
+		"limits":   next.MemoryMB != s.cfg.MemoryMB || next.Sockets != s.cfg.Sockets,
+		"settings": !reflect.DeepEqual(next.Settings, s.cfg.Settings),
+	} {
+		if changed {
+			s.log.Warn("a change takes effect at the next start only", "of", what)
+		}
+	}
+	s.log.Info("reloaded", "load", s.String())
+}
+
+// Run serves until ctx ends, and then drains. It returns once all that was taken is answered.
+func (s *Sidecar) Run(ctx context.Context) error {
+	if err := s.Listen(); err != nil {
+		s.Close()
+		return err
+	}
+	return s.Gateway.Run(ctx)
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/source/discovery.go
@@ -1,4 +1,7 @@
-package sidecar
+// Package source holds where a pool's list of servers comes from: the platform's discovery, or a list that the operator
+// wrote down. A source is asked for a watch and tells what it knows until that ends; when to ask again is for the decision
+// module to say. It knows nothing of pools or connections to servers.
+package source
 
 import (
 	"bufio"
@@ -17,15 +20,15 @@
 	"heathstack/policy"
 )
 
-// list is a message of discovery: the whole list of upstreams, or the changes since the one before.
-type list struct {
-	Seq   *int64      `json:"seq"`
-	Whole bool        `json:"whole"`
-	Hosts []listEntry `json:"hosts"`
+// List is a message of discovery: the whole list of upstreams, or the changes since the one before.
+type List struct {
+	Seq   *int64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
 }
 
-// listEntry is what discovery says of an upstream.
-type listEntry struct {
+// Entry is what discovery says of an upstream.
+type Entry struct {
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
@@ -35,14 +38,15 @@
 	BornMs int64   `json:"born_ms"`
 }
 
-var states = map[string]policy.ServerState{
+// States are the words of discovery for the states of servers.
+var States = map[string]policy.ServerState{
 	"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone,
 }
 
-// parseList reads a message of discovery. It rejects the whole of one that is malformed anywhere, so that a
+// ParseList reads a message of discovery. It rejects the whole of one that is malformed anywhere, so that a
 // list is never taken over in part.
-func parseList(text []byte) (*list, error) {
-	var l list
+func ParseList(text []byte) (*List, error) {
+	var l List
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("server list: %w", err)
 	}
@@ -50,7 +54,7 @@
 		return nil, fmt.Errorf("server list: no seq in %.80q", text)
 	}
 	for _, e := range l.Hosts {
-		state, ok := states[e.Health]
+		state, ok := States[e.Health]
 		switch {
 		case !ok:
 			return nil, fmt.Errorf("server list: host %q has health %q", e.Host, e.Health)
@@ -69,41 +73,28 @@
 	quietTime = 4 * time.Second
 	// discoveryDial is how long the connection to discovery may take.
 	discoveryDial = 2 * time.Second
+	// mostHead bounds the head of discovery's answer.
+	mostHead = 16 << 10
 	// mostLine bounds a line of a watch.
 	mostLine = 4 << 20
 )
 
-// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask
-// again is for the module to say.
-func (h *host) Watch(on bool) {
-	if h.stopWatch != nil {
-		h.stopWatch()
-		h.stopWatch = nil
-	}
-	if !on {
-		return
-	}
-	ctx, cancel := context.WithCancel(h.ctx)
-	h.stopWatch = cancel
-	since, addr := h.seq, h.disco
-	go func() {
-		err := h.watch(ctx, addr, since)
-		h.event(func(now policy.Time) {
-			if ctx.Err() != nil { // called off
-				return
-			}
-			cancel()
-			h.stopWatch = nil
-			h.log.Warn("watch on discovery ended", "err", err)
-			h.balancer.Members(now, policy.ListFailed, nil, h)
-		})
-	}()
+// Source tells a pool of its servers.
+type Source interface {
+	// Watch calls tell with what has changed after version since, or with the whole list, and with each change from then
+	// on, until ctx ends or the source fails; then it returns why, never nil. It does not call tell once ctx has ended,
+	// but for a call that crosses that.
+	Watch(ctx context.Context, since int64, tell func(*List)) error
 }
 
-// watch hands the module what discovery at addr says of changes after version since, until that fails.
-func (h *host) watch(ctx context.Context, addr string, since int64) error {
-	d := net.Dialer{Timeout: discoveryDial}
-	c, err := d.DialContext(ctx, "tcp", addr)
+// Discovery is the address of a service that speaks the platform's protocol of lists and watches.
+type Discovery string
+
+// Watch is the method of Source.
+func (d Discovery) Watch(ctx context.Context, since int64, tell func(*List)) error {
+	addr := string(d)
+	dialer := net.Dialer{Timeout: discoveryDial}
+	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
@@ -135,19 +126,14 @@
 		if len(text) == 0 {
 			continue
 		}
-		l, err := parseList(text)
+		l, err := ParseList(text)
 		if err != nil {
 			return err
 		}
-		kind := policy.ListDelta
-		if l.Whole {
-			kind = policy.ListFull
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
-		h.event(func(now policy.Time) {
-			if ctx.Err() == nil {
-				h.members(now, kind, l)
-			}
-		})
+		tell(l)
 	}
 	if err := lines.Err(); err != nil {
 		return err
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,320 @@
+// Package upstream holds the connections of one pool to its servers: which are idle, what is read of an answer and for how
+// long, and whether a request that broke off can have run. Connections carry one request at a time (HTTP/1.1). It picks
+// no server, and neither sends again nor gives up by itself.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"heathstack/internal/message"
+	"heathstack/internal/proc"
+	"heathstack/policy"
+)
+
+const (
+	// answerTime is how long an answer may take from its first byte to its last. It guards against answers that stop
+	// half way or never end, while the connection stays open: without it each would cost all the time that the request
+	// has. An upstream that computes while it writes, or a link on which 64 KiB take longer, would be cut off.
+	answerTime = 250 * time.Millisecond
+	// mostHead bounds the head of an upstream's answer: one that never ends must not fill the memory.
+	mostHead = 16 << 10
+	// mostInterim bounds the 1xx answers before the final one.
+	mostInterim = 5
+	// idleShare is the part of the idle limit after which an idle connection is closed: the upstream closes it
+	// at the limit, and a request that crosses that close is lost to a reset.
+	idleShare = 0.6
+	// settleTime is how long a connection should have been idle before it is used again: what an upstream sends
+	// behind its answer shows by then. A younger one is used only if the alternative is to dial.
+	settleTime = 5 * time.Millisecond
+	// connBuffer is the size of a connection's two buffers: most heads and answers fit.
+	connBuffer = 4 << 10
+)
+
+// Descriptors is what the connections of a pool take up.
+type Descriptors interface {
+	Acquire(ctx context.Context) (release func(), err error)
+	Scarce() bool // idle connections should not be kept
+}
+
+// Conns holds the connections to upstreams. They carry one request at a time.
+type Conns struct {
+	descriptors Descriptors
+	dialTimeout time.Duration
+	idleFor     time.Duration // how long a connection is kept idle
+
+	mu    sync.Mutex
+	inUse map[*Peer]struct{} // those with idle connections
+}
+
+// NewPeer returns the process of a server that listens at addr and started then.
+func NewPeer(addr string, started policy.Time) *Peer { return &Peer{addr: addr, started: started} }
+
+// Addr is where the process listens.
+func (p *Peer) Addr() string { return p.addr }
+
+// Started is when the process started, in the module's time.
+func (p *Peer) Started() policy.Time { return p.started }
+
+// Peer is one process of an upstream, at one address.
+type Peer struct {
+	addr    string
+	started policy.Time
+
+	retired bool    // under Conns.mu: it is listed no more, and keeps no connection
+	idle    []*Conn // under Conns.mu: longest idle first
+}
+
+// Conn is a connection to an upstream.
+type Conn struct {
+	net.Conn
+	peer     *Peer
+	release  func() // of its descriptor
+	r        *bufio.Reader
+	w        *bufio.Writer
+	budget   int       // bytes that may still be read of the present answer
+	deadline time.Time // of the present exchange
+	begun    bool      // the answer's first byte has come
+	since    time.Time
+}
+
+// Read guards against answers without end, be it in bytes or in time.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.budget <= 0 {
+		return 0, errors.New("the answer is too long")
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.budget)])
+	c.budget -= n
+	if n > 0 && !c.begun {
+		c.begun = true
+		c.SetReadDeadline(earlier(c.deadline, time.Now().Add(answerTime)))
+	}
+	return n, err
+}
+
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
+}
+
+// New returns the connections of a pool that has the settings cfg.
+func New(cfg policy.Config, s Descriptors) *Conns {
+	return &Conns{
+		descriptors: s, dialTimeout: cfg.DialTimeout, idleFor: time.Duration(float64(cfg.ConnIdle) * idleShare),
+		inUse: map[*Peer]struct{}{},
+	}
+}
+
+// reuse returns an idle connection to p, or nil. One on which the upstream has closed, or has said something unasked,
+// is of no use: what is written to it would end as a reset, or be answered with what was meant for another.
+func (u *Conns) reuse(p *Peer) *Conn {
+	for {
+		u.mu.Lock()
+		n := len(p.idle)
+		if n == 0 {
+			u.mu.Unlock()
+			return nil
+		}
+		i := n - 1
+		for i > 0 && time.Since(p.idle[i].since) < settleTime {
+			i--
+		}
+		if time.Since(p.idle[i].since) < settleTime {
+			i = 0
+		}
+		c := p.idle[i]
+		u.setIdle(p, slices.Delete(p.idle, i, i+1))
+		u.mu.Unlock()
+		if time.Since(c.since) < u.idleFor && c.quiet() {
+			return c
+		}
+		c.Close()
+	}
+}
+
+// setIdle replaces the idle connections of p.
+func (u *Conns) setIdle(p *Peer, idle []*Conn) {
+	p.idle = idle
+	if len(idle) > 0 {
+		u.inUse[p] = struct{}{}
+	} else {
+		delete(u.inUse, p)
+	}
+}
+
+// quiet reports whether nothing is there to be read from the upstream, neither bytes nor the end.
+func (c *Conn) quiet() bool { return c.r.Buffered() == 0 && proc.Quiet(c.Conn) }
+
+// Keep makes c idle, unless something came behind the answer.
+func (u *Conns) Keep(c *Conn) {
+	if u.idleFor <= 0 || u.descriptors.Scarce() || !c.quiet() {
+		c.Close()
+		return
+	}
+	c.since = time.Now()
+	u.mu.Lock()
+	kept := !c.peer.retired
+	if kept {
+		u.setIdle(c.peer, append(c.peer.idle, c))
+	}
+	u.mu.Unlock()
+	if !kept {
+		c.Close()
+	}
+}
+
+// HangUp closes the idle connections to p.
+func (u *Conns) HangUp(p *Peer) {
+	u.mu.Lock()
+	idle := p.idle
+	u.setIdle(p, nil)
+	u.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// Retire makes p keep no connection any more.
+func (u *Conns) Retire(p *Peer) {
+	u.mu.Lock()
+	p.retired = true
+	u.mu.Unlock()
+	u.HangUp(p)
+}
+
+// Evict closes an idle connection, and reports whether there was one.
+func (u *Conns) Evict() bool {
+	var c *Conn
+	u.mu.Lock()
+	for p := range u.inUse {
+		c = p.idle[0]
+		u.setIdle(p, p.idle[1:])
+		break
+	}
+	u.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// closeIdle closes the connections that have been idle for idleFor.
+func (u *Conns) closeIdle() {
+	var old []*Conn
+	u.mu.Lock()
+	for p := range u.inUse {
+		n := 0
+		for n < len(p.idle) && time.Since(p.idle[n].since) >= u.idleFor {
+			n++
+		}
+		old = append(old, p.idle[:n]...)
+		u.setIdle(p, slices.Delete(p.idle, 0, n))
+	}
+	u.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// Sweep closes idle connections in time until ctx ends.
+func (u *Conns) Sweep(ctx context.Context) {
+	if u.idleFor <= 0 {
+		return
+	}
+	tick := time.NewTicker(max(u.idleFor/4, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			u.closeIdle()
+		}
+	}
+}
+
+// NoDescriptor wraps what kept this sidecar from opening a connection at all. It says nothing of the upstream.
+type NoDescriptor struct{ Err error }
+
+func (e NoDescriptor) Error() string { return e.Err.Error() }
+
+// Unwrap returns what it wraps.
+func (e NoDescriptor) Unwrap() error { return e.Err }
+
+// Connect returns an idle connection to p, or dials one.
+func (u *Conns) Connect(ctx context.Context, p *Peer, deadline time.Time) (*Conn, error) {
+	c := u.reuse(p)
+	if c == nil {
+		ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
+		defer cancel()
+		release, err := u.descriptors.Acquire(ctx)
+		if err != nil {
+			return nil, NoDescriptor{Err: err}
+		}
+		var d net.Dialer
+		d.KeepAlive = -1 // idle connections do not live long enough for it
+		nc, err := d.DialContext(ctx, "tcp", p.addr)
+		if err != nil {
+			release()
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+				err = NoDescriptor{Err: err}
+			}
+			return nil, err
+		}
+		c = &Conn{Conn: nc, peer: p, release: release}
+		c.r, c.w = bufio.NewReaderSize(c, connBuffer), bufio.NewWriterSize(nc, connBuffer)
+	}
+	c.deadline, c.begun = deadline, false
+	c.SetDeadline(deadline)
+	return c, nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// NotWritten wraps what broke an exchange before its last byte was written: it has never run.
+type NotWritten struct{ Err error }
+
+func (e NotWritten) Error() string { return e.Err.Error() }
+
+// Unwrap returns what it wraps.
+func (e NotWritten) Unwrap() error { return e.Err }
+
+// Exchange writes a request and reads the head of the answer.
+func (c *Conn) Exchange(q *http.Request) (*http.Response, error) {
+	c.budget = mostHead
+	err := q.Write(c.w)
+	if err == nil {
+		err = c.w.Flush()
+	}
+	if err != nil {
+		return nil, NotWritten{Err: err}
+	}
+	for range mostInterim {
+		resp, err := http.ReadResponse(c.r, q)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			c.budget = 2 * message.MostBody // chunks have some bytes beside the body's
+			return resp, nil
+		}
+		if c.begun = c.r.Buffered() > 0; !c.begun { // the final answer is still to begin, and may take its time
+			c.SetReadDeadline(c.deadline)
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
