Add the product's command, the operator's file, stand-ins and the laboratory

Need: operators configure several pools in one file and see a scenario at work; later subsystems are measured in a laboratory.

Change: cmd/sorrelrudder (run, check, lab, version) on kong; internal/opfile reads the TOML file with every error by file, line and key, and writes out defaults; internal/standin has boxes, discovery, a link, clients and a ledger of effects; internal/lab plays scenarios against the real program as a process of its own.

--- /dev/null
+++ b/cmd/sorrelrudder/main.go
@@ -0,0 +1,231 @@
+// Command sorrelrudder is the product: a gateway of several pools from an operator's file, and its laboratory.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"heathstack/internal/gateway"
+	"heathstack/internal/lab"
+	"heathstack/internal/opfile"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1 // the work failed, or a scenario broke a rule or missed a bound
+	exitUsage  = 2 // the command line or the file is wrong
+)
+
+type cli struct {
+	Run     runCmd     `cmd:"" help:"Run a gateway from an operator's file. SIGHUP reads the file again, SIGTERM drains and ends."`
+	Check   checkCmd   `cmd:"" help:"Check an operator's file: every error with file, line and key; exit 2 if there is any."`
+	Lab     labCmd     `cmd:"" help:"Play a scenario on loopback against stand-ins and check the four rules; exit 1 if one broke or a bound was missed."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+	Proxy   proxyCmd   `cmd:"" hidden:"" help:"The plain reverse proxy that 'lab cost' compares with."`
+}
+
+type streams struct{ out, err io.Writer }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run carries out a command line, and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	var c cli
+	exited := -1
+	parser, err := kong.New(&c, kong.Name("sorrelrudder"), kong.Writers(stdout, stderr),
+		kong.Description("A gateway between applications and their services, built for large scale and for failure."),
+		kong.Exit(func(code int) { exited = code }), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintln(stderr, "sorrelrudder:", err)
+		return exitFailed
+	}
+	if len(args) == 0 {
+		args = []string{"--help"}
+	}
+	ctx, err := parser.Parse(args)
+	if exited >= 0 { // --help
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "sorrelrudder: %v (see sorrelrudder --help)\n", err)
+		return exitUsage
+	}
+	err = ctx.Run(&streams{stdout, stderr})
+	var bad opfile.Errors
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &bad):
+		fmt.Fprintln(stderr, bad)
+		return exitUsage
+	case errors.Is(err, errScenario):
+		return exitFailed
+	case errors.Is(err, lab.ErrUnknown), errors.Is(err, os.ErrNotExist):
+		fmt.Fprintln(stderr, "sorrelrudder:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(stderr, "sorrelrudder:", err)
+	return exitFailed
+}
+
+type runCmd struct {
+	File string `arg:"" help:"The operator's file."`
+}
+
+func (c *runCmd) Run(s *streams) error {
+	// Caught from the first moment on: left alone, it would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	f, err := opfile.Load(c.File)
+	if err != nil {
+		return err
+	}
+	limit(f)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log := slog.New(slog.NewTextHandler(s.err, nil))
+	g, err := gateway.New(f.Gateway, log)
+	if err != nil {
+		return err
+	}
+	if err := g.Listen(); err != nil {
+		g.Close()
+		return err
+	}
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		follow(ctx, reload, c.File, g, log)
+	}()
+	err = g.Run(ctx)
+	stop()
+	<-followed
+	return err
+}
+
+// limit keeps the process to what the file gives it.
+func limit(f *opfile.File) {
+	runtime.GOMAXPROCS(f.Cores)
+	// Guards against being killed for memory: the rest is for stacks of the runtime, code and the kernel.
+	debug.SetMemoryLimit(int64(f.Gateway.MemoryMB) << 20 / 4 * 3)
+}
+
+// follow reads the file again at each signal until ctx ends. One that cannot be used leaves the present one in force.
+func follow(ctx context.Context, reload <-chan os.Signal, file string, g *gateway.Gateway, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		f, err := opfile.Load(file)
+		if err == nil {
+			err = g.Apply(f.Gateway)
+		}
+		if err != nil {
+			log.Error("reload: the running configuration stays in force", "err", err)
+			continue
+		}
+		limit(f)
+		log.Info("reloaded", "file", file, "load", g.String())
+	}
+}
+
+type checkCmd struct {
+	File  string `arg:"" help:"The operator's file."`
+	Print bool   `help:"Write the file out with all defaults."`
+}
+
+func (c *checkCmd) Run(s *streams) error {
+	f, err := opfile.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Print {
+		_, err = io.WriteString(s.out, f.String())
+		return err
+	}
+	g := &f.Gateway
+	_, err = fmt.Fprintf(s.out, "%s is right: %d listeners, %d pools, %d routes\n", c.File, len(g.Listeners), len(g.Pools), len(g.Routes))
+	return err
+}
+
+type labCmd struct {
+	Scenario string        `arg:"" optional:"" default:"list" help:"The scenario to play; 'list' lists them."`
+	Seed     uint64        `default:"1" help:"What the day is drawn from."`
+	Duration time.Duration `help:"How long the load lasts; 0 for the scenario's usual time."`
+	JSON     bool          `help:"Print one JSON object in place of the table."`
+	Verbose  bool          `short:"v" help:"Show the program's log."`
+}
+
+// errScenario is a scenario that ran and did not pass. Its report says why.
+var errScenario = errors.New("the scenario did not pass")
+
+func (c *labCmd) Run(s *streams) error {
+	if c.Scenario == "list" {
+		for _, sc := range lab.List() {
+			fmt.Fprintf(s.out, "%-16s %6s  %s\n", sc.Name, sc.Duration, sc.Summary)
+		}
+		return nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o := lab.Options{Seed: c.Seed, Duration: c.Duration, Program: []string{self}}
+	if c.Verbose {
+		o.Log = s.err
+	} else if f, ok := s.err.(*os.File); ok && isTerminal(f) {
+		o.Progress = f
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	r, err := lab.Play(ctx, c.Scenario, o)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = r.WriteJSON(s.out)
+	} else {
+		err = r.WriteTable(s.out)
+	}
+	if err == nil && !r.Pass {
+		return errScenario
+	}
+	return err
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run(s *streams) error {
+	version, revision := "(devel)", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		if info.Main.Version != "" {
+			version = info.Main.Version
+		}
+		for _, v := range info.Settings {
+			if v.Key == "vcs.revision" {
+				revision = v.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(s.out, "sorrelrudder %s, revision %s, %s\n", version, revision, runtime.Version())
+	return err
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,277 @@
+// Package lab plays scripted days on loopback sockets against the real program, with stand-ins for all that is around it,
+// and checks the four rules against the stand-ins' ledger afterwards. A scenario is one file that registers itself.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"heathstack/internal/standin"
+)
+
+// Scenario is a scripted day.
+type Scenario struct {
+	Name     string
+	Summary  string
+	Duration time.Duration // usual length of its load
+	Run      func(ctx context.Context, e *Env) error
+}
+
+var (
+	scenarios = map[string]Scenario{}
+
+	// ErrUnknown is what Play says of a scenario that is not there.
+	ErrUnknown = errors.New("no such scenario")
+)
+
+// Register adds a scenario. It panics if there is one of that name: two files disagree.
+func Register(s Scenario) {
+	if _, had := scenarios[s.Name]; had {
+		panic("lab: two scenarios are named " + s.Name)
+	}
+	scenarios[s.Name] = s
+}
+
+// List is all scenarios by their names.
+func List() []Scenario {
+	var all []Scenario
+	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
+		all = append(all, scenarios[name])
+	}
+	return all
+}
+
+// Options say how a scenario is played.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration // 0: the scenario's usual
+	Program  []string      // the command of the program, without its arguments
+	Progress io.Writer     // nil: none
+	Log      io.Writer     // the program's log; nil: only its end, should it fail
+}
+
+// Report is what came of a scenario.
+type Report struct {
+	Scenario string             `json:"scenario"`
+	Seed     uint64             `json:"seed"`
+	Pass     bool               `json:"pass"`
+	Broken   []string           `json:"broken"`
+	Measures map[string]float64 `json:"measures"`
+
+	order  []string
+	bounds map[string]string
+}
+
+// Env is what a scenario plays with.
+type Env struct {
+	Seed     uint64
+	Duration time.Duration
+	Dir      string // for files; removed afterwards
+
+	opts   Options
+	report *Report
+
+	mu     sync.Mutex
+	closes []func()
+	phase  string
+	began  time.Time
+	length time.Duration
+}
+
+// Play plays a scenario.
+func Play(ctx context.Context, name string, o Options) (*Report, error) {
+	s, ok := scenarios[name]
+	if !ok {
+		return nil, fmt.Errorf("%w: %q", ErrUnknown, name)
+	}
+	dir, err := os.MkdirTemp("", "sorrelrudder-lab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	e := &Env{Seed: o.Seed, Duration: o.Duration, Dir: dir, opts: o}
+	if e.Duration <= 0 {
+		e.Duration = s.Duration
+	}
+	e.report = &Report{Scenario: name, Seed: o.Seed, Broken: []string{}, Measures: map[string]float64{}, bounds: map[string]string{}}
+	defer e.close()
+	stop := e.showProgress()
+	err = s.Run(ctx, e)
+	stop()
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.report.Pass = len(e.report.Broken) == 0
+	return e.report, nil
+}
+
+// Defer has f called when the scenario is over, the last first.
+func (e *Env) Defer(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closes = append(e.closes, f)
+}
+
+func (e *Env) close() {
+	for len(e.closes) > 0 {
+		last := len(e.closes) - 1
+		f := e.closes[last]
+		e.closes = e.closes[:last]
+		f()
+	}
+}
+
+// Phase names what is played now, and how long it takes.
+func (e *Env) Phase(name string, length time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.phase, e.began, e.length = name, time.Now(), length
+}
+
+// Measure notes a figure.
+func (e *Env) Measure(name string, value float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, had := e.report.Measures[name]; !had {
+		e.report.order = append(e.report.order, name)
+	}
+	if math.IsNaN(value) || math.IsInf(value, 0) { // JSON has neither
+		e.report.Broken = append(e.report.Broken, fmt.Sprintf("%s is %v", name, value))
+		value = 0
+	}
+	e.report.Measures[name] = value
+}
+
+// AtLeast notes a figure and its bound.
+func (e *Env) AtLeast(name string, value, least float64) {
+	e.bound(name, value, fmt.Sprintf("at least %.4g", least), value >= least)
+}
+
+// AtMost notes a figure and its bound.
+func (e *Env) AtMost(name string, value, most float64) {
+	e.bound(name, value, fmt.Sprintf("at most %.4g", most), value <= most)
+}
+
+func (e *Env) bound(name string, value float64, want string, kept bool) {
+	e.Measure(name, value)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report.bounds[name] = want
+	if !kept {
+		e.report.Broken = append(e.report.Broken, fmt.Sprintf("bound: %s is %.4g, want %s", name, value, want))
+	}
+}
+
+// Broken notes that something must not be.
+func (e *Env) Broken(format string, args ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report.Broken = append(e.report.Broken, fmt.Sprintf(format, args...))
+}
+
+// Rules checks the four rules against a ledger, once all is over.
+func (e *Env) Rules(l *standin.Ledger) standin.Verdict {
+	v := l.Check(standin.UsualSlack)
+	for _, b := range v.Broken {
+		e.Broken("%s", b)
+	}
+	return v
+}
+
+// showProgress shows on a terminal what is played, until the function that it returns is called.
+func (e *Env) showProgress() (stop func()) {
+	if e.opts.Progress == nil {
+		return func() {}
+	}
+	end := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		tick := time.NewTicker(200 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-end:
+				fmt.Fprint(e.opts.Progress, "\r\x1b[K")
+				return
+			case <-tick.C:
+			}
+			e.mu.Lock()
+			phase, spent, length := e.phase, time.Since(e.began), e.length
+			e.mu.Unlock()
+			if phase != "" {
+				fmt.Fprintf(e.opts.Progress, "\r\x1b[K%s %s", bar(spent, length), phase)
+			}
+		}
+	})
+	return func() {
+		close(end)
+		done.Wait()
+	}
+}
+
+func bar(spent, length time.Duration) string {
+	const width = 24
+	n := width
+	if length > 0 {
+		n = min(width, int(float64(width)*float64(spent)/float64(length)))
+	}
+	b := make([]byte, width)
+	for i := range b {
+		b[i] = '.'
+		if i < n {
+			b[i] = '#'
+		}
+	}
+	return fmt.Sprintf("[%s] %3.0f s", b, spent.Seconds())
+}
+
+// WriteJSON writes a report as one JSON object.
+func (r *Report) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
+
+// WriteTable writes a report as a table for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	width := 0
+	for _, name := range r.order {
+		width = max(width, len(name))
+	}
+	fmt.Fprintf(w, "%s, seed %d\n\n", r.Scenario, r.Seed)
+	for _, name := range r.order {
+		line := fmt.Sprintf("  %-*s  %12s", width, name, figure(r.Measures[name]))
+		if b := r.bounds[name]; b != "" {
+			line += "   " + b
+		}
+		fmt.Fprintln(w, line)
+	}
+	fmt.Fprintln(w)
+	if r.Pass {
+		_, err := fmt.Fprintln(w, "passed: all rules kept, all bounds met")
+		return err
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintln(w, "BROKEN", b)
+	}
+	_, err := fmt.Fprintln(w, "failed")
+	return err
+}
+
+func figure(v float64) string {
+	if v == math.Trunc(v) && math.Abs(v) < 1e9 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.4g", v)
+}
+
+// ms is a time as measures show it.
+func ms(d time.Duration) float64 { return math.Round(float64(d)/1e4) / 100 }
--- /dev/null
+++ b/internal/lab/quickstart.go
@@ -0,0 +1,79 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"heathstack/internal/standin"
+)
+
+func init() {
+	Register(Scenario{
+		Name: "quickstart", Duration: 10 * time.Second, Run: quickstart,
+		Summary: "one pool, three boxes, 150 requests a second; halfway one box begins to fail at once",
+	})
+}
+
+// quickstart shows the program at work: a pool of three boxes, of which one errs for a while and one leaves.
+func quickstart(ctx context.Context, e *Env) error {
+	ledger := standin.NewLedger()
+	boxes, err := e.boxes("box", 3, ledger, nil)
+	if err != nil {
+		return err
+	}
+	disco, err := e.discovery(ledger, boxes)
+	if err != nil {
+		return err
+	}
+	p, err := e.Start(ctx, fmt.Sprintf("[[listeners]]\nname = \"farm\"\naddress = \"127.0.0.1:0\"\n\n[pools.farm]\ndiscovery = %q\n\n%s",
+		disco.Addr(), classesTOML("farm")), 1)
+	if err != nil {
+		return err
+	}
+	e.Phase("three boxes, one of which errs for a while and one of which leaves", e.Duration)
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	go script(load, e.Duration,
+		step{0.3, func() { boxes[0].SetFault(standin.Fault{Kind: standin.Error, Share: 1}) }},
+		step{0.6, func() { boxes[0].SetFault(standin.Fault{}) }},
+		step{0.7, func() {
+			boxes[2].Drain(true)
+			disco.Set(entries(boxes)...)
+		}},
+	)
+	crowd := standin.RunClients(load, standin.ClientConfig{
+		Name: "farm", Addr: p.Addr("farm"), Host: "farm.example.org", Rate: 150, Tries: 3, Backoff: 30 * time.Millisecond, Honour: true,
+		Classes: []standin.ClassLoad{deliveryOrder, meterBooking, allocationCheck}, Ledger: ledger, Seed: e.Seed,
+	})
+	if err := p.Stop(); err != nil {
+		e.Broken("the program ended with %v", err)
+	}
+	v := e.Rules(ledger)
+	e.crowd("", crowd)
+	e.Measure("effects", float64(v.Effects))
+	e.Measure("effects_doubled", float64(v.Doubled))
+	e.AtLeast("served_in_time", crowd.Share(), 0.95)
+	return nil
+}
+
+// step is something that is done after a part of a phase.
+type step struct {
+	at float64
+	do func()
+}
+
+// script does the steps, which are in order, of a phase of that length, until ctx ends.
+func script(ctx context.Context, length time.Duration, steps ...step) {
+	began := time.Now()
+	for _, s := range steps {
+		wait := time.NewTimer(time.Until(began.Add(time.Duration(s.at * float64(length)))))
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		case <-wait.C:
+			s.do()
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Relay is a link between two places: it passes TCP connections on to a target, and can be slow, stand still, be cut or
+// reset. A link that stands still or is cut says nothing: connections stay open and silent.
+type Relay struct {
+	target string
+	ln     net.Listener
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	delay  time.Duration
+	still  chan struct{} // not nil: nothing passes until it is closed
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// relayBuffer is how much of each direction of a connection is on the way at once.
+const relayBuffer = 32 << 10
+
+// StartRelay starts a link to target.
+func StartRelay(target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{target: target, ln: ln, conns: map[net.Conn]struct{}{}}
+	r.done.Go(r.accept)
+	return r, nil
+}
+
+// Addr is where the link begins.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
+// Delay makes all that passes so much later, each way.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Stall makes the link stand still, or go on: then all that was held passes.
+func (r *Relay) Stall(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case on && r.still == nil:
+		r.still = make(chan struct{})
+	case !on && r.still != nil:
+		close(r.still)
+		r.still = nil
+	}
+}
+
+// Reset breaks all connections that there are with a reset.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Close ends the link.
+func (r *Relay) Close() {
+	r.Stall(false)
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.ln.Close()
+	r.Reset()
+	r.done.Wait()
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.done.Go(func() { r.pass(c) })
+	}
+}
+
+// keep notes a connection, so that Reset and Close find it.
+func (r *Relay) keep(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.closed {
+		r.conns[c] = struct{}{}
+	}
+	return !r.closed
+}
+
+func (r *Relay) drop(c net.Conn) {
+	c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
+func (r *Relay) pass(near net.Conn) {
+	defer r.drop(near)
+	if !r.keep(near) {
+		return
+	}
+	r.wait()
+	far, err := net.DialTimeout("tcp", r.target, 5*time.Second)
+	if err != nil {
+		if tcp, ok := near.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		return
+	}
+	defer r.drop(far)
+	if !r.keep(far) {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(far, near) })
+	both.Go(func() { r.copy(near, far) })
+	both.Wait()
+}
+
+// wait returns once the link does not stand still.
+func (r *Relay) wait() (delay time.Duration) {
+	for {
+		r.mu.Lock()
+		still, delay := r.still, r.delay
+		r.mu.Unlock()
+		if still == nil {
+			return delay
+		}
+		<-still
+	}
+}
+
+// chunk is what was read of a connection at once.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+// copy passes what comes from one connection to another, each part after the link's delay.
+func (r *Relay) copy(to, from net.Conn) {
+	defer r.drop(to)
+	way := make(chan chunk, 16)
+	go func() {
+		defer close(way)
+		for {
+			b := make([]byte, relayBuffer)
+			n, err := from.Read(b)
+			if n > 0 {
+				r.mu.Lock()
+				delay := r.delay
+				r.mu.Unlock()
+				way <- chunk{b[:n], time.Now().Add(delay)}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	broken := false
+	for c := range way {
+		if broken {
+			continue
+		}
+		time.Sleep(time.Until(c.due))
+		r.wait()
+		if _, err := to.Write(c.bytes); err != nil {
+			broken = true
+			r.drop(from) // ends the reading
+		}
+	}
+}
