--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heathstack/internal/message"
@@ -63,9 +64,12 @@
 	// Pause is how long a connection is not read after an answer: refused counts the requests on it in a row that were not
 	// admitted.
 	Pause(o Owner, refused int) time.Duration
-	// Moved tells that a connection belongs to another owner than it did.
-	Moved(from, to Owner)
-	// Excess orders the owners by who gives up a connection first: the highest does.
+	// Hold counts a connection for an owner, and reports whether it may stay beyond its present request. If so, Drop
+	// follows once it belongs to another or is closed.
+	Hold(o Owner) bool
+	// Drop ends that.
+	Drop(o Owner)
+	// Excess orders the owners by who gives up a connection first: the highest does, and one at or below 0 last of all.
 	Excess(o Owner) int64
 }
 
@@ -125,9 +129,12 @@
 	reader  *requestReader
 
 	owner Owner          // Server.mu
+	held  bool           // Server.mu: counted for owner; if not, it closes with its next answer
 	kind  int            // Server.mu: of the list that place is in
 	place *lists.Element // Server.mu: nil while a request is open
 	since time.Time      // Server.mu: in that list since then
+	// dismissed is set while the connection makes room for another: it does not linger.
+	dismissed atomic.Bool
 }
 
 func (c *clientConn) Close() error {
@@ -144,13 +151,26 @@
 	}
 }
 
-// Serve serves the connections that come until the listener is closed. While no descriptor is free they wait in the
-// kernel's backlog. The connections live on.
-func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+// Serve serves the connections that come until the listener is closed or ctx ends. While no descriptor is free they wait
+// in the kernel's backlog. The connections live on. So many acceptors take connections side by side: where descriptors
+// are scarce each has to wait until some connection has made room, and others would wait behind it.
+func (s *Server) Serve(ctx context.Context, ln net.Listener, acceptors int) error {
 	at := &port{}
 	s.mu.Lock()
 	s.ports[ln] = at
 	s.mu.Unlock()
+	ended := make(chan error, acceptors)
+	for range acceptors {
+		go func() { ended <- s.accept(ctx, ln, at) }()
+	}
+	var err error
+	for range acceptors {
+		err = <-ended
+	}
+	return err
+}
+
+func (s *Server) accept(ctx context.Context, ln net.Listener, at *port) error {
 	for {
 		release, err := s.descriptors.AcquireClient(ctx)
 		if err != nil {
@@ -173,6 +193,7 @@
 		c := &clientConn{Conn: nc, port: at, release: release, reader: newRequestReader(nc)}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		c.held = s.handler.Hold(0)
 		s.setQuiet(c, fresh)
 		s.done.Add(1)
 		s.mu.Unlock()
@@ -257,7 +278,9 @@
 }
 
 // closing reports whether c is to close with its next answer. The caller holds mu.
-func (s *Server) closing(c *clientConn) bool { return s.draining || c.port.draining }
+func (s *Server) closing(c *clientConn) bool {
+	return s.draining || c.port.draining || c.owner != 0 && !c.held
+}
 
 // setIdle notes that c waits for its next request, and reports whether there may be one. One that has been read already
 // is still answered while the server drains.
@@ -293,18 +316,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leave(c)
+	c.dismissed.Store(false)
 	c.SetDeadline(time.Time{})
 }
 
 // setOwner notes which pool a request on c is for.
 func (s *Server) setOwner(c *clientConn, o Owner) {
-	if c.owner == o { // only the goroutine of c, which is the caller, writes it
+	if c.owner == o && c.held { // only the goroutine of c, which is the caller, writes them
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.handler.Moved(c.owner, o)
-	c.owner = o // c is in no list by its owner: it reads
+	if c.held {
+		s.handler.Drop(c.owner)
+	}
+	c.owner, c.held = o, s.handler.Hold(o) // c is in no list by its owner: it reads
 }
 
 // dismiss makes the goroutine of c, which has no whole request, close it unless one has come. It guards against closing a
@@ -312,6 +338,7 @@
 // Until the goroutine runs the descriptor stays taken. The caller holds mu.
 func (s *Server) dismiss(c *clientConn) {
 	s.leave(c)
+	c.dismissed.Store(true)
 	c.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -321,8 +348,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leave(c)
-	if c.owner != 0 {
-		s.handler.Moved(c.owner, 0)
+	if c.held {
+		s.handler.Drop(c.owner)
 	}
 	delete(s.conns, c)
 	s.done.Done()
@@ -331,18 +358,22 @@
 // Evict dismisses a connection without a whole request to make room for another, and reports whether there was one. It
 // guards against clients that hold descriptors for nothing, whatever their reason. In turn: the oldest that never sent
 // anything; one whose request does not come on; the one idle longest of the pool that has most beyond its part, as it would
-// have asked again, and then connects anew; any that has just come.
+// have asked again, and then connects anew; any that has just come; one of a pool that is within its part.
 func (s *Server) Evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.evictOf(&s.quiet[fresh], freshTime) || s.evictOf(&s.quiet[reading], slowTime) ||
-		s.evictIdle() || s.evictOf(&s.quiet[fresh], 0)
+		s.evictIdle(func(excess int64) bool { return excess > 0 }) || s.evictOf(&s.quiet[fresh], 0) ||
+		s.evictIdle(func(excess int64) bool { return excess <= 0 })
 }
 
-func (s *Server) evictIdle() bool {
+// evictIdle dismisses an idle connection of an owner whose excess is such.
+func (s *Server) evictIdle(such func(excess int64) bool) bool {
 	var order []Owner
 	for o := range s.idle {
-		order = append(order, o)
+		if such(s.handler.Excess(o)) {
+			order = append(order, o)
+		}
 	}
 	slices.SortFunc(order, func(a, b Owner) int {
 		return cmp.Or(cmp.Compare(s.handler.Excess(b), s.handler.Excess(a)), cmp.Compare(a, b))
@@ -485,7 +516,11 @@
 	var bad message.Bad
 	errors.As(err, &bad)
 	open = s.write(c, bad.Answer(), q.last || q.expects)
-	c.SetDeadline(time.Now().Add(requestTime)) // for the rest of its body
+	if open {
+		c.SetDeadline(time.Now().Add(requestTime)) // for the rest of its body
+	} else if q.Length != 0 {
+		linger(c)
+	}
 	return bad.Status, open
 }
 
@@ -528,6 +563,15 @@
 		return // the client has gone
 	}
 	s.write(c, bad.Answer(), true)
+	linger(c)
+}
+
+// linger ends the sending on c and reads on for a moment: a close with bytes unread would reset the connection, and the
+// client might not find what it was sent.
+func linger(c *clientConn) {
+	if c.dismissed.Load() {
+		return
+	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		c.SetDeadline(time.Now().Add(lingerTime))
 		io.CopyN(io.Discard, c.Conn, lingerBytes)
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -39,11 +39,19 @@
 	return echoAdmission{q}, o, nil
 }
 func (h *echoHandler) Pause(Owner, int) time.Duration { return 0 }
-func (h *echoHandler) Moved(from, to Owner) {
+func (h *echoHandler) Hold(o Owner) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.conns[from]--
-	h.conns[to]++
+	if o == 'x' {
+		return false
+	}
+	h.conns[o]++
+	return true
+}
+func (h *echoHandler) Drop(o Owner) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.conns[o]--
 }
 func (h *echoHandler) Excess(o Owner) int64 {
 	h.mu.Lock()
@@ -92,7 +100,7 @@
 	}
 	go func() {
 		defer close(ended)
-		s.Serve(ctx, at)
+		s.Serve(ctx, at, 2)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -280,6 +288,22 @@
 	}
 }
 
+// TestCrowdedOut guards against keeping connections of a pool that has all it may: its answers close them, also those that
+// refuse a body unread, which must still reach the client.
+func TestCrowdedOut(t *testing.T) {
+	s := start(t, 256, nil)
+	resp, body := s.dial(t).ask(t, get("x", "a"))
+	if resp.StatusCode != 200 || body != "a" || !resp.Close {
+		t.Errorf("got %d %q, close %v, want an answer that closes", resp.StatusCode, body, resp.Close)
+	}
+	long := strings.Repeat("b", 60<<10)
+	resp, _ = s.dial(t).ask(t, "POST /full HTTP/1.1\r\nHost: x\r\nContent-Length: 61440\r\n\r\n"+long)
+	if resp.StatusCode != 429 || !resp.Close {
+		t.Errorf("got %d, close %v, want 429 that closes", resp.StatusCode, resp.Close)
+	}
+	waitFor(t, "the connections to be gone", func() bool { return s.Connections() == 0 })
+}
+
 // TestDrainOneListener guards against closing what came in elsewhere.
 func TestDrainOneListener(t *testing.T) {
 	s := start(t, 256, nil)
@@ -290,7 +314,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.Serve(context.Background(), ln)
+		s.Serve(context.Background(), ln, 1)
 	}()
 	other := (&running{s.Server, s.handler, ln.Addr().String()}).dial(t)
 	stays := s.dial(t)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -54,6 +54,8 @@
 	LeastDescriptors = 64
 	// keptShare is the part of each resource that is kept for the pools by their weights.
 	keptShare = 0.5
+	// freshShare is the part of the clients' descriptors that is kept for connections that have brought no request yet.
+	freshShare = 0.25
 	// bodyShare is the part of the memory that bodies may take: they are held as long as an attempt may need them, beside
 	// answers of the same size, buffers and what is not collected yet.
 	bodyShare = 1.0 / 8
@@ -125,14 +127,28 @@
 		return share.Claim{Min: min(int64(float64(total)*part), most), Max: most}
 	}
 	clients := proc.ClientMost(c.usable())
+	conns := claim(clients, 0)
+	if len(c.Pools) == 1 { // nobody is to be kept from it
+		conns.Min = 0
+	}
 	return claims{
 		admission: share.Limits{
 			Open: claim(clients, p.Limits.Open), Bodies: claim(c.bodies(), p.Limits.Bodies),
 			Rate: p.Limits.Rate, Burst: p.Limits.Burst, Hold: p.Limits.Hold,
 		},
 		descriptors: claim(proc.ForUpstreams(c.usable()), p.Limits.Descriptors),
-		conns:       claim(clients, 0),
+		conns:       conns,
+	}
+}
+
+// freshClaim is what connections may have of which it is not known yet for which pool they are: those of all pools begin as
+// such, so that a part is kept for them.
+func (c *Config) freshClaim() share.Claim {
+	most := share.Claim{Max: share.NoLimit}
+	if len(c.Pools) > 1 {
+		most.Min = int64(float64(proc.ClientMost(c.usable())) * freshShare)
 	}
+	return most
 }
 
 // bodies is how many bytes of bodies the process may hold.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,9 @@
 const (
 	// drainSlack is what the last answers may take beyond the longest deadline.
 	drainSlack = 150 * time.Millisecond
+	// severalAcceptors is how many accept connections at each listener of several pools: a flood of one keeps them waiting
+	// for descriptors. Each holds one.
+	severalAcceptors = 4
 	// drainLook is how often a pool that drains is looked at.
 	drainLook = 5 * time.Millisecond
 	// lagEvery is how often the lateness of the process is measured while several pools share its processor.
@@ -61,9 +64,12 @@
 	shares    sync.Mutex
 	admission *share.Admission
 	pacer     *share.Pacer
-	conns     share.Pot
+	conns     share.Pot // connections of clients; those that have brought no request are nobody's
 }
 
+// nobody owns the connections that have brought no request yet. No pool has this key.
+const nobody share.Key = 0
+
 // table is how requests find their pool. It is replaced whole.
 type table struct {
 	routes *route.Table // nil: all requests are for only
@@ -91,7 +97,7 @@
 	g := &Gateway{
 		log: log, origin: time.Now().Add(-time.Hour), descriptors: proc.NewDescriptors(cfg.Descriptors),
 		several: make(chan struct{}), listeners: map[Listener]*listening{},
-		admission: share.NewAdmission(0, 0), pacer: share.NewPacer(), conns: share.NewPot(share.NoLimit),
+		admission: share.NewAdmission(0, 0), pacer: share.NewPacer(), conns: share.NewPot(0),
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.server = front.New((*handler)(g), g.descriptors, log)
@@ -282,7 +288,10 @@
 	g.descriptors.Resize(c.usable())
 	g.shares.Lock()
 	defer g.shares.Unlock()
-	g.admission.Resize(proc.ClientMost(c.usable()), c.bodies())
+	clients := proc.ClientMost(c.usable())
+	g.admission.Resize(clients, c.bodies())
+	g.conns.Resize(clients)
+	g.conns.Set(nobody, c.freshClaim())
 	for _, p := range c.Pools {
 		m, cl := t.pools[p.Name], c.claims(p)
 		g.descriptors.Claim(m.key, cl.descriptors)
@@ -364,10 +373,14 @@
 
 // serve accepts connections at listeners.
 func (g *Gateway) serve(opened map[Listener]*listening) {
+	acceptors := 1
+	if len(g.cfg.Pools) > 1 {
+		acceptors = severalAcceptors
+	}
 	for l, ln := range opened {
 		g.listeners[l] = ln
 		g.log.Info("ready", "name", g.cfg.Name, "listen", ln.Addr().String(), "listener", l.Name, "load", g.String())
-		go func() { ln.ended <- g.server.Serve(g.ctx, ln) }()
+		go func() { ln.ended <- g.server.Serve(g.ctx, ln, acceptors) }()
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -87,13 +87,20 @@
 	return g.pacer.Pause(g.now(), share.Key(o), refused)
 }
 
-// Moved is the method of front.Handler.
-func (h *handler) Moved(from, to front.Owner) {
+// Hold is the method of front.Handler.
+func (h *handler) Hold(o front.Owner) bool {
 	g := (*Gateway)(h)
 	g.shares.Lock()
 	defer g.shares.Unlock()
-	g.conns.Give(share.Key(from), 1)
-	g.conns.Take(share.Key(to), 1) // it has no limit: it only tells who has how many
+	return g.conns.Take(share.Key(o), 1)
+}
+
+// Drop is the method of front.Handler.
+func (h *handler) Drop(o front.Owner) {
+	g := (*Gateway)(h)
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	g.conns.Give(share.Key(o), 1)
 }
 
 // Excess is the method of front.Handler.
--- /dev/null
+++ b/internal/lab/pools.go
@@ -0,0 +1,165 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"heathstack/internal/standin"
+)
+
+func init() {
+	Register(Scenario{
+		Name: "pools", Duration: 6 * time.Second, Run: pools,
+		Summary: "three pools, alone and then with one flooded at ten times its limit: the others must not feel it",
+	})
+}
+
+// poolRate is the limit of the pool that is flooded, in requests a second.
+const poolRate = 100
+
+// poolsTOML is a file of three pools, orders with a limit.
+func poolsTOML(lists map[string]string) string {
+	var b strings.Builder
+	b.WriteString("[process]\nmemory = \"64MiB\"\ndescriptors = 512\n\n[[listeners]]\nname = \"farm\"\naddress = \"127.0.0.1:0\"\n")
+	for _, name := range []string{"orders", "meters", "channels"} {
+		fmt.Fprintf(&b, "\n[pools.%s]\ndiscovery = %q\n", name, lists[name])
+		if name == "orders" {
+			fmt.Fprintf(&b, "[pools.orders.limits]\nrate = %d.0\nburst = 20.0\n", poolRate)
+		}
+		b.WriteString(classesTOML(name))
+		fmt.Fprintf(&b, "[[routes]]\nname = %q\nhosts = [\"%s.example.org\"]\npool = %q\n", name, name, name)
+	}
+	return b.String()
+}
+
+// pools plays one and the same load twice: once with no more than that, once beside a flood of one pool.
+func pools(ctx context.Context, e *Env) error {
+	var quiet [2]poolsDay
+	for i, flooded := range []bool{false, true} {
+		day, err := playPools(ctx, e, flooded)
+		if err != nil {
+			return err
+		}
+		quiet[i] = *day
+	}
+	alone, beside := quiet[0].quiet, quiet[1].quiet
+	e.Measure("quiet_operations", float64(beside.Ops()))
+	e.Measure("quiet_served_alone", alone.Share())
+	e.Measure("quiet_served_beside_flood", beside.Share())
+	e.AtMost("quiet_served_lost", alone.Share()-beside.Share(), 0.01)
+	e.Measure("quiet_p99_alone_ms", ms(alone.Percentile(0.99)))
+	e.Measure("quiet_p99_beside_flood_ms", ms(beside.Percentile(0.99)))
+	e.Measure("quiet_p99_ratio", float64(beside.Percentile(0.99))/float64(alone.Percentile(0.99)))
+	f := quiet[1].flood
+	e.Measure("flood_requests", float64(f.Tries))
+	e.Measure("flood_refused", float64(f.Status[429]+f.Status[503]))
+	e.Measure("flood_refusal_p50_ms", ms(f.RefusalPercentile(0.5)))
+	e.Measure("flood_refusal_p99_ms", ms(f.RefusalPercentile(0.99)))
+	e.Measure("flood_served_a_second", float64(f.Status[200])/e.Duration.Seconds())
+	e.Measure("program_cpu_share_alone", quiet[0].cpu.Seconds()/e.Duration.Seconds())
+	e.Measure("program_cpu_share_beside_flood", quiet[1].cpu.Seconds()/e.Duration.Seconds())
+	e.Measure("quiet_connections", float64(beside.Connections))
+	e.Measure("flood_slow_heads", float64(quiet[1].heads))
+	e.Measure("flood_silent_connections", float64(quiet[1].silents))
+	if f.Status[429] == 0 {
+		e.Broken("the flood was never refused by its pool's limit: nothing was shown")
+	}
+	return nil
+}
+
+type poolsDay struct {
+	quiet          *standin.Crowd // of meters and channels
+	flood          *standin.Crowd
+	heads, silents int64
+	cpu            time.Duration // of the program
+}
+
+// playPools plays a day with a program and boxes of its own.
+func playPools(ctx context.Context, e *Env, flooded bool) (*poolsDay, error) {
+	ledger := standin.NewLedger()
+	lists := map[string]string{}
+	for _, name := range []string{"orders", "meters", "channels"} {
+		boxes, err := e.boxes(name, 3, ledger, nil)
+		if err != nil {
+			return nil, err
+		}
+		d, err := e.discovery(ledger, boxes)
+		if err != nil {
+			return nil, err
+		}
+		lists[name] = d.Addr()
+	}
+	p, err := e.Start(ctx, poolsTOML(lists), 1)
+	if err != nil {
+		return nil, err
+	}
+	name := "three pools alone"
+	if flooded {
+		name = "three pools, orders flooded"
+	}
+	e.Phase(name, e.Duration)
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	day := &poolsDay{}
+	addr := p.Addr("farm")
+	usual := standin.ClientConfig{
+		Addr: addr, Tries: 3, Backoff: 40 * time.Millisecond, Honour: true, Ledger: ledger, Seed: e.Seed,
+	}
+	var all sync.WaitGroup
+	all.Go(func() { // meters and channels are one crowd each; their sums are the quiet pools' measure
+		meters, channels := usual, usual
+		meters.Name, meters.Host, meters.Rate = "m", "meters.example.org", 60
+		meters.Classes = []standin.ClassLoad{meterBooking}
+		channels.Name, channels.Host, channels.Rate = "c", "channels.example.org", 90
+		channels.Classes = []standin.ClassLoad{allocationCheck}
+		channels.Seed++
+		var a, b *standin.Crowd
+		var both sync.WaitGroup
+		both.Go(func() { a = standin.RunClients(load, meters) })
+		both.Go(func() { b = standin.RunClients(load, channels) })
+		both.Wait()
+		day.quiet = a.With(b)
+	})
+	all.Go(func() {
+		orders := usual
+		orders.Name, orders.Host, orders.Rate = "o", "orders.example.org", poolRate/2
+		orders.Classes = []standin.ClassLoad{deliveryOrder, allocationCheck}
+		standin.RunClients(load, orders)
+	})
+	if flooded {
+		flood := usual
+		flood.Host, flood.Tries, flood.Honour, flood.Backoff = "orders.example.org", 3, false, 0
+		flood.MostOut = 400
+		big := deliveryOrder
+		big.Body = 60 << 10
+		var crowds [3]*standin.Crowd
+		for i, change := range []func(*standin.ClientConfig){
+			func(c *standin.ClientConfig) { c.Classes = []standin.ClassLoad{allocationCheck, deliveryOrder} },
+			func(c *standin.ClientConfig) { c.Classes = []standin.ClassLoad{big} },
+			func(c *standin.ClientConfig) { c.Classes, c.Fresh = []standin.ClassLoad{allocationCheck}, true },
+		} {
+			c := flood
+			c.Name, c.Seed, c.Rate = fmt.Sprintf("f%d", i), e.Seed+10+uint64(i), []float64{7, 1, 2}[i]*poolRate
+			change(&c)
+			all.Go(func() { crowds[i] = standin.RunClients(load, c) })
+		}
+		all.Go(func() { day.heads = standin.SlowHeads(load, addr, "orders.example.org", 100) })
+		all.Go(func() { day.silents = standin.Silents(load, addr, 100) })
+		all.Wait()
+		day.flood = crowds[0].With(crowds[1]).With(crowds[2])
+	}
+	all.Wait()
+	cpu, err := p.CPU()
+	if err != nil {
+		return nil, err
+	}
+	day.cpu = cpu
+	if err := p.Stop(); err != nil {
+		e.Broken("the program ended with %v", err)
+	}
+	e.Rules(ledger)
+	return day, nil
+}
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -65,14 +65,15 @@
 
 // Crowd is what became of the operations of clients.
 type Crowd struct {
-	mu        sync.Mutex
-	Counts    [outcomes]int
-	Tries     int
-	Status    map[int]int     // of all tries
-	Latencies []time.Duration // of the operations that were served, from their first try on
-	Refusals  []time.Duration // from a try to its refusal
-	Asked     float64         // worth of all operations
-	Won       float64         // worth of those answered within their aim
+	mu          sync.Mutex
+	Counts      [outcomes]int
+	Tries       int
+	Connections int             // that were opened
+	Status      map[int]int     // of all tries
+	Latencies   []time.Duration // of the operations that were served, from their first try on
+	Refusals    []time.Duration // from a try to its refusal
+	Asked       float64         // worth of all operations
+	Won         float64         // worth of those answered within their aim
 }
 
 // Share is the part of the worth asked that was answered within its aim.
@@ -356,6 +357,9 @@
 	if err != nil {
 		return nil, err
 	}
+	c.out.mu.Lock()
+	c.out.Connections++
+	c.out.mu.Unlock()
 	return &clientConn{Conn: nc, r: bufio.NewReader(nc)}, nil
 }
 
@@ -437,3 +441,25 @@
 	all.Wait()
 	return count.Load()
 }
+
+// With is what became of the operations of two crowds.
+func (c *Crowd) With(d *Crowd) *Crowd {
+	sum := &Crowd{Status: map[int]int{}}
+	for _, x := range []*Crowd{c, d} {
+		x.mu.Lock()
+		for i, n := range x.Counts {
+			sum.Counts[i] += n
+		}
+		for status, n := range x.Status {
+			sum.Status[status] += n
+		}
+		sum.Tries += x.Tries
+		sum.Connections += x.Connections
+		sum.Latencies = append(sum.Latencies, x.Latencies...)
+		sum.Refusals = append(sum.Refusals, x.Refusals...)
+		sum.Asked += x.Asked
+		sum.Won += x.Won
+		x.mu.Unlock()
+	}
+	return sum
+}
