--- /dev/null
+++ b/internal/opfile/opfile_test.go
@@ -0,0 +1,166 @@
+package opfile
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"heathstack/internal/gateway"
+	"heathstack/policy"
+)
+
+const least = `[[listeners]]
+name = "farm"
+address = "127.0.0.1:0"
+[pools.orders]
+discovery = "127.0.0.1:8500"
+[[pools.orders.classes]]
+name = "order"
+effect = "keyed"
+`
+
+func TestLeast(t *testing.T) {
+	f, err := Parse("f.toml", []byte(least))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := f.Gateway
+	p := g.Pools[0]
+	c := p.Settings.Config
+	if g.MemoryMB != 192 || g.Descriptors != 1024 || f.Cores != 1 || p.Name != "orders" || p.Limits.Weight != 1 || p.Limits.Hold ||
+		c.MaxAttempts != 3 || !c.HintsRetry || !c.InlineReports || c.Classes[0].Effect != policy.Keyed || c.Classes[0].KeyTTL != 30*time.Second {
+		t.Errorf("the defaults are not as written: %+v", g)
+	}
+}
+
+// TestErrors guards against errors without their place, and against stopping at the first.
+func TestErrors(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want []string // in order
+	}{
+		"no TOML":         {"[process\n", []string{"f.toml:1: "}},
+		"twice":           {least + "[pools.orders]\n", []string{"f.toml:9: "}},
+		"nothing":         {"", []string{"f.toml:1: listeners: is missing", "f.toml:1: pools: is missing"}},
+		"unknown":         {least + "[proces]\nname = \"x\"\n", []string{"f.toml:9: proces: unknown key; did you mean process?"}},
+		"unknown, deep":   {least + "colour = 1\n", []string{"f.toml:9: pools.orders.classes[1].colour: unknown key; known here: name, effect"}},
+		"no unit":         {least + "aim = 300\n", []string{`f.toml:9: pools.orders.classes[1].aim: is 300 without a unit`}},
+		"no time":         {least + "aim = \"soon\"\n", []string{`f.toml:9: pools.orders.classes[1].aim: is "soon", which is no time`}},
+		"out of range":    {least + "aim = \"0s\"\n", []string{`f.toml:9: pools.orders.classes[1].aim: is 0s, outside 1ms`}},
+		"deadline":        {least + "aim = \"2s\"\ndeadline = \"1s\"\n", []string{`f.toml:10: pools.orders.classes[1].deadline: is 1s, below the aim of 2s`}},
+		"no such word":    {strings.Replace(least, "keyed", "sometimes", 1), []string{`f.toml:8: pools.orders.classes[1].effect: is "sometimes", not one of safe, keyed, unsafe`}},
+		"not keyed":       {strings.Replace(least, "keyed", "safe", 1) + "repeats_dropped_for = \"1s\"\n", []string{`f.toml:9: pools.orders.classes[1].repeats_dropped_for: only a class`}},
+		"kind":            {least + "[process]\nname = 7\nmemory = 64\n", []string{"f.toml:10: process.name: is a whole number, not a string", "f.toml:11: process.memory: is 64 without a unit"}},
+		"memory":          {least + "[process]\nmemory = \"1MiB\"\n", []string{"f.toml:10: process.memory: is 1MiB, outside 24MiB"}},
+		"two lists":       {least + "[[pools.orders.servers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n", []string{"f.toml:9: pools.orders.servers: the pool has two lists"}},
+		"no list":         {strings.Replace(least, "discovery = \"127.0.0.1:8500\"\n", "", 1), []string{"f.toml:4: pools.orders: the pool has no list"}},
+		"port 0":          {strings.Replace(least, "8500", "0", 1), []string{`f.toml:5: pools.orders.discovery: has the port "0"`}},
+		"a name":          {strings.Replace(least, "127.0.0.1:8500", "discovery.local:8500", 1), []string{`f.toml:5: pools.orders.discovery: has the host "discovery.local", which is no IP address`}},
+		"no class":        {least[:strings.Index(least, "[[pools.orders.classes")], []string{"f.toml:4: pools.orders.classes: is missing"}},
+		"class twice":     {least + "[[pools.orders.classes]]\nname = \"order\"\neffect = \"safe\"\n", []string{`f.toml:10: pools.orders.classes[2].name: class "order" is there twice`}},
+		"no routes":       {least + strings.ReplaceAll(least[strings.Index(least, "[pools"):], "orders", "meters"), []string{"f.toml:1: routes: is missing"}},
+		"no such pool":    {least + "[[routes]]\nname = \"a\"\npool = \"order\"\n", []string{`f.toml:4: pools.orders: no route leads to the pool "orders"`, `f.toml:11: routes[1].pool: there is no pool "order"; did you mean "orders"?`}},
+		"tie":             {least + "[[routes]]\nname = \"a\"\npool = \"orders\"\n[[routes]]\nname = \"b\"\nhosts = [\"*\"]\npool = \"orders\"\n", []string{`f.toml:13: routes[2].name: routes "a" and "b" tie`}},
+		"bad host":        {least + "[[routes]]\nname = \"a\"\nhosts = [\"a b\", 7]\npool = \"orders\"\n", []string{"f.toml:11: routes[1].hosts[2]: is a whole number", "f.toml:11: routes[1].hosts: host \"a b\""}},
+		"descriptors":     {least + "[process]\ndescriptors = 64\n[[listeners]]\nname = \"b\"\naddress = \":0\"\n", []string{"f.toml:9: process: 63 descriptors are left"}},
+		"listener twice":  {least + "[[listeners]]\nname = \"farm\"\naddress = \"127.0.0.1:1\"\n", []string{`f.toml:10: listeners[2].name: is "farm", as that of the listener in line 1`}},
+		"small bodies":    {least + "[pools.orders.limits]\nbodies = \"1KiB\"\n", []string{"f.toml:10: pools.orders.limits.bodies: is below 64KiB"}},
+		"table for value": {least + "[pools.orders.limits.rate]\nx = 1\n", []string{"f.toml:9: pools.orders.limits.rate: is a table, not a number"}},
+		"value for table": {"pools = 3\nlisteners = \"x\"\n", []string{"f.toml:1: pools: is a whole number", "f.toml:2: listeners: is a string, not tables"}},
+	} {
+		_, err := Parse("f.toml", []byte(c.text))
+		var errs Errors
+		if !errors.As(err, &errs) {
+			t.Errorf("%s: got %v", name, err)
+			continue
+		}
+		at := 0
+		for _, e := range errs {
+			if at < len(c.want) && strings.HasPrefix(e.Error(), c.want[at]) {
+				at++
+			}
+		}
+		if at < len(c.want) {
+			t.Errorf("%s: want %q, got\n%v", name, c.want[at], errs)
+		}
+	}
+}
+
+// same compares what the process is told. Drawn seeds are none here.
+func same(a, b gateway.Config) bool { return reflect.DeepEqual(a, b) }
+
+// TestPrint guards against printing what reads as another configuration, and against a default that is not shown.
+func TestPrint(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", "sorrelrudder.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Parse("deploy/sorrelrudder.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	printed := f.String()
+	again, err := Parse("printed", []byte(printed))
+	if err != nil {
+		t.Fatalf("what was printed cannot be read: %v\n%s", err, printed)
+	}
+	if !same(f.Gateway, again.Gateway) {
+		t.Errorf("what was printed reads otherwise:\n%+v\n%+v", f.Gateway, again.Gateway)
+	}
+	for _, want := range []string{"max = 3 ", "most_retry_after = \"1.5s\"", "strip_path = false"} {
+		if !strings.Contains(printed, want) {
+			t.Errorf("a default is not printed: %s", want)
+		}
+	}
+}
+
+func TestSizes(t *testing.T) {
+	for text, want := range map[string]int64{"64KiB": 64 << 10, "1 MiB": 1 << 20, "3kB": 3000, "0B": 0, "7B": 7, "2GiB": 2 << 30} {
+		got, err := parseSize(text)
+		if err != nil || got != want {
+			t.Errorf("%s: %d, %v", text, got, err)
+		}
+		if back, err := parseSize(formatSize(want)); err != nil || back != want {
+			t.Errorf("%s is written as %s", text, formatSize(want))
+		}
+	}
+	for _, text := range []string{"", "64", "KiB", "-1B", "1.5MiB", "99999999999GiB", "1TiB"} {
+		if got, err := parseSize(text); err == nil {
+			t.Errorf("%q was read as %d", text, got)
+		}
+	}
+}
+
+// FuzzParse guards against a panic on any file, against errors without a place, and against printing what reads otherwise.
+func FuzzParse(f *testing.F) {
+	f.Add(least)
+	f.Add(least + "[[routes]]\nname = \"a\"\nhosts = [\"a.org\", \"*\"]\npool = \"orders\"\n")
+	f.Add("[pools.\"a b\".limits]\nrate = inf\n[pools]\nx = {a.b = 1, a.c = [1, {d = 2}]}\n")
+	f.Add("pools = [{a=1},{b=2}]\nlisteners = [1, [2]]")
+	f.Fuzz(func(t *testing.T, text string) {
+		file, err := Parse("f", []byte(text))
+		if err != nil {
+			var errs Errors
+			if !errors.As(err, &errs) || len(errs) == 0 {
+				t.Fatalf("no Errors: %v", err)
+			}
+			for _, e := range errs {
+				if e.Line < 1 || e.Line > strings.Count(text, "\n")+1 || e.Text == "" {
+					t.Fatalf("an error without its place: %+v", e)
+				}
+			}
+			return
+		}
+		again, err := Parse("f", []byte(file.String()))
+		if err != nil {
+			t.Fatalf("what was printed cannot be read: %v\n%s", err, file.String())
+		}
+		if !same(file.Gateway, again.Gateway) {
+			t.Fatalf("what was printed reads otherwise:\n%s", file.String())
+		}
+	})
+}
