--- /dev/null
+++ b/cmd/sorrelrudder/main_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// asProgram is set in the environment of the test's own binary when the laboratory starts it as the program.
+const asProgram = "SORRELRUDDER_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
+	os.Setenv(asProgram, "1")
+	os.Exit(m.Run())
+}
+
+func call(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestCommandLine(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("[[listeners]]\nname = \"a\"\naddress = \"nowhere\"\nport = 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	good := filepath.Join("..", "..", "deploy", "sorrelrudder.toml")
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want string // in what is printed
+	}{
+		"help":         {[]string{"--help"}, 0, "check"},
+		"nothing":      {nil, 0, "Usage"},
+		"unknown":      {[]string{"fly"}, 2, "fly"},
+		"version":      {[]string{"version"}, 0, "sorrelrudder"},
+		"list":         {[]string{"lab", "list"}, 0, "pools-reload"},
+		"lab alone":    {[]string{"lab"}, 0, "quickstart"},
+		"no scenario":  {[]string{"lab", "none"}, 2, "no such scenario"},
+		"good file":    {[]string{"check", good}, 0, "3 pools, 4 routes"},
+		"defaults":     {[]string{"check", "--print", good}, 0, "retry_after = true"},
+		"bad file":     {[]string{"check", bad}, 2, "bad.toml:3: listeners[1].address"},
+		"all errors":   {[]string{"check", bad}, 2, "bad.toml:4: listeners[1].port: unknown key"},
+		"no file":      {[]string{"check", bad + "x"}, 2, "no such file"},
+		"run bad file": {[]string{"run", bad}, 2, "bad.toml:4"},
+		"no argument":  {[]string{"run"}, 2, "file"},
+	} {
+		code, out, errs := call(c.args...)
+		if code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%s: exit %d, want %d and %q in\n%s%s", name, code, c.code, c.want, out, errs)
+		}
+	}
+}
+
+// TestQuickstart plays the README's first command, shorter, against the real program.
+func TestQuickstart(t *testing.T) {
+	code, out, errs := call("lab", "quickstart", "--duration", "2s", "--seed", "3", "--json")
+	var report struct {
+		Scenario string
+		Seed     uint64
+		Pass     bool
+		Broken   []string
+		Measures map[string]float64
+	}
+	if err := json.Unmarshal([]byte(out), &report); err != nil {
+		t.Fatalf("%v: %s%s", err, out, errs)
+	}
+	for _, b := range report.Broken { // how much is served in time depends on the machine
+		if !strings.HasPrefix(b, "bound: ") {
+			t.Error(b)
+		}
+	}
+	if report.Scenario != "quickstart" || report.Seed != 3 || report.Measures["operations"] < 100 || (code == 0) != report.Pass {
+		t.Errorf("exit %d: %s", code, out)
+	}
+}
+
+// needs are all packages that a command links.
+func needs(t *testing.T, command string) []string {
+	t.Helper()
+	out, err := exec.Command("go", "list", "-deps", "heathstack/cmd/"+command).Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(string(out))
+}
+
+// TestSidecarLinksNothingHeavy guards the memory of the sidecar: what only the product needs is never linked into it.
+func TestSidecarLinksNothingHeavy(t *testing.T) {
+	for _, command := range []string{"cairnpick", "adapter"} {
+		for _, p := range needs(t, command) {
+			for _, heavy := range []string{
+				"github.com/", "google.golang.org/", "go.uber.org/", "pgregory.net/", "heathstack/internal/lab", "heathstack/internal/opfile",
+				"heathstack/internal/standin",
+			} {
+				if strings.HasPrefix(p, heavy) {
+					t.Errorf("%s links %s", command, p)
+				}
+			}
+		}
+	}
+	if !slices.Contains(needs(t, "sorrelrudder"), "github.com/alecthomas/kong") {
+		t.Error("the list of packages is not what this test takes it for")
+	}
+}
+
+// mayImport says which of the project's packages a package may import; docs/ARCHITECTURE.md says why.
+var mayImport = map[string][]string{
+	"policy":            {},
+	"internal/route":    {},
+	"internal/share":    {},
+	"internal/message":  {},
+	"internal/settings": {"policy"},
+	"internal/wire":     {"policy", "internal/settings"},
+	"internal/proc":     {"internal/share"},
+	"internal/source":   {"policy"},
+	"internal/upstream": {"policy", "internal/message", "internal/proc"},
+	"internal/pool":     {"policy", "internal/message", "internal/settings", "internal/source", "internal/upstream"},
+	"internal/front":    {"internal/message", "internal/proc"},
+	"internal/gateway": {
+		"policy", "internal/front", "internal/message", "internal/pool", "internal/proc", "internal/route", "internal/settings",
+		"internal/share", "internal/source", "internal/upstream",
+	},
+	"internal/sidecar": {"internal/gateway", "internal/settings", "internal/source"},
+	"internal/opfile":  {"policy", "internal/gateway", "internal/message", "internal/route", "internal/source"},
+	"internal/standin": {}, // shares no code with what it watches
+	"internal/lab":     {"internal/standin"},
+	"cmd/adapter":      {"internal/wire"},
+	"cmd/cairnpick":    {"internal/sidecar"},
+	"cmd/sorrelrudder": {"internal/gateway", "internal/lab", "internal/opfile"},
+}
+
+// pure modules read no clock, open nothing and start nothing.
+var pure = []string{"policy", "internal/route", "internal/share"}
+
+// TestImports holds the rules of docs/ARCHITECTURE.md.
+func TestImports(t *testing.T) {
+	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}} {{join .Imports " "}}`, "heathstack/...").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(out)) {
+		fields := strings.Fields(line)
+		name := strings.TrimPrefix(fields[0], "heathstack/")
+		allowed, known := mayImport[name]
+		if !known {
+			t.Errorf("package %s has no rule: say in docs/ARCHITECTURE.md and here what it may import", name)
+			continue
+		}
+		for _, p := range fields[1:] {
+			own, is := strings.CutPrefix(p, "heathstack/")
+			if is && !slices.Contains(allowed, own) {
+				t.Errorf("%s imports %s", name, own)
+			}
+			if slices.Contains(pure, name) && slices.Contains([]string{"net", "net/http", "os", "sync", "context", "log/slog", "syscall"}, p) {
+				t.Errorf("the pure module %s imports %s", name, p)
+			}
+		}
+	}
+}
+
+// TestPureModules guards against clocks and goroutines in modules that decide.
+func TestPureModules(t *testing.T) {
+	for _, dir := range pure {
+		files, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v, %v", dir, files, err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, no := range []string{"time.Now(", "time.Since(", "time.Until(", "time.Sleep(", "time.After", "go func", "make(chan"} {
+				if bytes.Contains(text, []byte(no)) {
+					t.Errorf("%s has %s", file, no)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"heathstack/internal/route"
+	"heathstack/internal/source"
+)
+
+// instantServer answers each request at once with a few bytes. It costs little, so that what is measured is the gateway.
+func instantServer(b *testing.B) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	answer := []byte("HTTP/1.1 200 OK\r\nX-Server-Load: TEXT inflight=0, queue=0\r\nContent-Length: 2\r\n\r\nok")
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, q.Body)
+					if _, err := c.Write(answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkPools gives what a pool takes at rest, and the processor time of a request with that many pools, the client and
+// the server in the same process included.
+func BenchmarkPools(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("pools=%d", n), func(b *testing.B) {
+			addr := instantServer(b)
+			cfg := Config{Name: "bench", MemoryMB: 512, Descriptors: 4096, Listeners: []Listener{{"farm", "127.0.0.1:0"}}}
+			for i := range n {
+				name := fmt.Sprint("pool", i)
+				cfg.Pools = append(cfg.Pools, Pool{
+					Name: name, Settings: testSettings(), Limits: Limits{Weight: 1}, Seed: 1,
+					Servers: []source.Entry{
+						{Host: "a", Dial: addr, Health: "active", Share: 1}, {Host: "b", Dial: addr, Health: "active", Share: 1},
+						{Host: "c", Dial: addr, Health: "active", Share: 1},
+					},
+				})
+				cfg.Routes = append(cfg.Routes, route.Route{Name: name, Hosts: []string{name + ".example.org"}, Path: "/", Pool: name})
+			}
+			before := heap()
+			g, err := New(cfg, slog.New(slog.DiscardHandler))
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := g.Listen(); err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				g.Run(ctx)
+			}()
+			defer func() {
+				cancel()
+				<-ended
+			}()
+			b.ReportMetric((heap()-before)/float64(n), "B/pool")
+			c, err := net.Dial("tcp", g.Addr("farm").String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			i := 0
+			ask := func() {
+				i++
+				fmt.Fprintf(c, "GET /check/7 HTTP/1.1\r\nHost: pool%d.example.org\r\nX-Request-ID: r%d\r\nX-Timeout-Ms: 5000\r\n\r\n", i%min(n, 8), i)
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 {
+					b.Fatalf("status %d", resp.StatusCode)
+				}
+			}
+			for range 200 {
+				ask()
+			}
+			began := cpu()
+			b.ReportAllocs()
+			asked := 0
+			for b.Loop() {
+				ask()
+				asked++
+			}
+			b.ReportMetric(float64((cpu()-began).Nanoseconds())/float64(asked), "cpu-ns/request")
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -245,6 +245,11 @@
 			defer g.shares.Unlock()
 			g.admission.Ready(m.key, n)
 		},
+		Serves: func() bool {
+			g.shares.Lock()
+			defer g.shares.Unlock()
+			return g.admission.Serves(m.key)
+		},
 	}
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,6 +31,9 @@
 	Source   source.Source
 	Known    *source.List // the list as it was last known, perhaps out of date; nil: none
 	Seed     uint64
+	// Serves is asked whether requests may wait for a first server; nil: they may. It is called under the pool's lock, as
+	// Ready is, and must not call the pool.
+	Serves func() bool
 	// Ready is told how many ready servers the list names, at the start and whenever that may have changed. It is called
 	// under the pool's lock, and must not call the pool.
 	Ready func(servers int)
@@ -48,6 +51,7 @@
 	longest  time.Duration
 	effects  map[string]policy.Effect // by class
 	tell     func(servers int)
+	serves   func() bool
 	work     sync.WaitGroup // goroutines; added to under mu while not closed
 
 	mu        sync.Mutex
@@ -96,7 +100,7 @@
 	origin := time.Now().Add(-longAgo)
 	p := &Pool{
 		settings: cfg.Settings, log: log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), up: up,
-		source: cfg.Source, balancer: b, requests: map[policy.RequestID]*request{}, tell: cfg.Ready,
+		source: cfg.Source, balancer: b, requests: map[policy.RequestID]*request{}, tell: cfg.Ready, serves: cfg.Serves,
 		peers: map[policy.ServerID]*upstream.Peer{}, entries: map[policy.ServerID]source.Entry{},
 		effects: map[string]policy.Effect{},
 	}
@@ -177,10 +181,17 @@
 // errClosed is what a request finds that comes after the pool has ended. It has run nowhere.
 var errClosed = message.Bad{Status: http.StatusServiceUnavailable, Text: "the pool is being removed", RetryAfter: 100 * time.Millisecond}
 
+// errNoServer is what a request finds that was admitted just before the list went empty. It has run nowhere.
+var errNoServer = message.Bad{Status: http.StatusServiceUnavailable, Text: "the pool has no ready server", RetryAfter: time.Second}
+
 // take hands a request, whose last byte has just come, to the module. It takes none whose id another has that is open.
 func (p *Pool) take(r *request, q policy.Request, timeout time.Duration) error {
 	var err error = errClosed
 	p.event(func(now policy.Time) {
+		if p.serves != nil && !p.serves() {
+			err = errNoServer
+			return
+		}
 		err = nil
 		if !p.ids.open(now, r.name) {
 			err = errIDInUse
@@ -373,6 +384,25 @@
 		p.tell(ready)
 	}
 	p.balancer.Members(now, kind, servers, p)
+	if p.serves != nil && !p.serves() {
+		p.giveBack(now)
+	}
+}
+
+// giveBack refuses the requests that were never sent, once the list names no server and they are not to wait for one: the
+// module would hold them until their time is up.
+func (p *Pool) giveBack(now policy.Time) {
+	for _, r := range p.requests {
+		if r.ended || len(r.attempts) > 0 {
+			continue
+		}
+		p.balancer.Withdrawn(now, r.id, p)
+		bad := errNoServer.Answer()
+		if !p.settings.Config.HintsRetry {
+			bad.RetryAfter = 0
+		}
+		p.end(r, bad)
+	}
 }
 
 // setPeer notes what the list says of an upstream. One that restarts, moves or goes loses its connections: another
--- /dev/null
+++ b/internal/proc/proc_test.go
@@ -0,0 +1,162 @@
+package proc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"heathstack/internal/share"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestWaiters guards against a waiter that is not woken when a descriptor is given back, and against counting wrongly while
+// many take and give.
+func TestWaiters(t *testing.T) {
+	d := NewDescriptors(SpareDescriptors + 4)
+	for k := range share.Key(3) {
+		d.Set(k+1, share.Claim{Min: 1, Max: share.NoLimit}, func() bool { return false })
+	}
+	var all sync.WaitGroup
+	for i := range 24 {
+		all.Go(func() {
+			p := d.Pool(share.Key(i%3 + 1))
+			for range 50 {
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				release, err := p.Acquire(ctx)
+				cancel()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if n := d.inUse.Load(); n > 4 {
+					t.Errorf("%d of 4 are in use", n)
+				}
+				release()
+				release() // a second time is of no effect
+			}
+		})
+	}
+	all.Wait()
+	if n := d.pot.InUse(); n != 0 {
+		t.Errorf("%d are still in use", n)
+	}
+}
+
+// TestEvictOrder guards against taking a connection of a pool within its part while another has more than its own, and of
+// others' where a pool is at its own limit.
+func TestEvictOrder(t *testing.T) {
+	d := NewDescriptors(SpareDescriptors + 10)
+	var evicted []string
+	ctx := context.Background()
+	var held []func()
+	take := func(k share.Key, n int) {
+		for range n {
+			release, err := d.Pool(k).Acquire(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			held = append(held, release)
+		}
+	}
+	evict := func(name string, k share.Key) func() bool {
+		return func() bool {
+			evicted = append(evicted, name)
+			d.give(k) // as a connection that closes
+			return true
+		}
+	}
+	d.Set(1, share.Claim{Min: 2, Max: share.NoLimit}, evict("big", 1))
+	d.Set(2, share.Claim{Min: 2, Max: 3}, evict("small", 2))
+	take(1, 8)
+	take(2, 2)
+	take(2, 1) // all are taken: the big one gives way
+	if len(evicted) != 1 || evicted[0] != "big" {
+		t.Errorf("evicted %v, want of the big one", evicted)
+	}
+	take(2, 1) // it has its most: only its own can help
+	if len(evicted) != 2 || evicted[1] != "small" {
+		t.Errorf("evicted %v, want of its own", evicted)
+	}
+	for _, release := range held {
+		release()
+	}
+}
+
+// TestClientsLeaveRoom guards against clients that take the descriptors which answers need.
+func TestClientsLeaveRoom(t *testing.T) {
+	const limit = 64
+	d := NewDescriptors(limit)
+	d.Set(1, share.Claim{Max: share.NoLimit}, func() bool { return false })
+	for range ClientMost(limit) {
+		if _, err := d.AcquireClient(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	if _, err := d.AcquireClient(ctx); err == nil {
+		t.Error("clients took more than their part")
+	}
+	for range ForUpstreams(limit) {
+		if _, err := d.Pool(1).Acquire(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !d.Pool(1).Scarce() {
+		t.Error("all are taken, and not scarce")
+	}
+	d.Drop(1)
+	d.Resize(2 * limit)
+	if _, err := d.AcquireClient(context.Background()); err != nil {
+		t.Errorf("with more descriptors: %v", err)
+	}
+}
+
+func TestQuiet(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !Quiet(near) {
+		t.Error("a connection on which nothing came is not quiet")
+	}
+	loud := func(what string) {
+		t.Helper()
+		for end := time.Now().Add(patience); Quiet(near); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("quiet after %s", what)
+			}
+		}
+	}
+	far.Write([]byte("x"))
+	loud("a byte came")
+	near.Read(make([]byte, 1))
+	if !Quiet(near) {
+		t.Error("not quiet once the byte was read")
+	}
+	far.Close()
+	loud("the end")
+	pipe, other := net.Pipe()
+	defer other.Close()
+	defer pipe.Close()
+	if Quiet(pipe) {
+		t.Error("what cannot be looked at must not count as quiet")
+	}
+}
--- a/internal/share/admission.go
+++ b/internal/share/admission.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// Serves reports whether a request of pool k that has not been sent may go on waiting. One that is leaving still serves what
+// it took.
+func (a *Admission) Serves(k Key) bool {
+	p := a.pools[k]
+	return p == nil || p.ready > 0 || p.limits.Hold
+}
+
 // fill adds the tokens of the time gone by.
 func (p *admitted) fill(now time.Duration) {
 	if now > p.at {
@@ -118,7 +125,7 @@
 	if p == nil {
 		return Verdict{Leaving, openRetry}
 	}
-	if p.ready == 0 && !p.limits.Hold {
+	if !a.Serves(k) {
 		return Verdict{NoServer, emptyRetry}
 	}
 	if p.limits.Rate > 0 {
