Watch a client only once its answer takes a while; spare a look and a buffer a request

Change: a client is watched from 2 ms on, not at once; a kept connection is looked at when it is used again, not also when it is kept; heads are parsed with pooled readers.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 	"net/http/httputil"
 	"os"
 	"strings"
+	"sync"
 	"time"
 
 	"heathstack/internal/message"
@@ -60,6 +61,9 @@
 	return err
 }
 
+// parsers are readers for heads that have been read whole.
+var parsers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
 // read reads the head of a request within the connection's deadline. An error that is no message.Bad means that the client
 // left.
 func (r *requestReader) read() (*clientRequest, error) {
@@ -71,7 +75,11 @@
 	if err != nil {
 		return nil, err
 	}
-	q, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	parser := parsers.Get().(*bufio.Reader)
+	parser.Reset(bytes.NewReader(head))
+	q, err := http.ReadRequest(parser)
+	parser.Reset(nil) // lets go of head; the body is read elsewhere
+	parsers.Put(parser)
 	switch {
 	case err != nil:
 		return nil, errHead
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,6 +32,8 @@
 	// life of a connection that never brings a whole request. A client that needs longer for 64 KiB on its own
 	// machine would be cut off.
 	requestTime = 800 * time.Millisecond
+	// watchAfter is how long a request is open before its client is watched.
+	watchAfter = 2 * time.Millisecond
 	// writeTime is how long a client may take none of its answer.
 	writeTime = 2 * time.Second
 	// lingerTime and lingerBytes bound how much of a rejected request is still read, so that the client finds the
@@ -127,6 +129,7 @@
 	port    *port
 	release func() // of its descriptor
 	reader  *requestReader
+	early   *time.Timer // of await
 
 	owner Owner          // Server.mu
 	held  bool           // Server.mu: counted for owner; if not, it closes with its next answer
@@ -495,20 +498,37 @@
 		status, open = s.turnAway(c, q, err)
 		return status, false, open
 	}
+	ans, open := c.await(x)
+	if !open {
+		return 0, true, false
+	}
+	return ans.Status, true, s.write(c, ans, q.last)
+}
+
+// await waits for the answer of x, and reports whether the client is still there. Whether it is is watched once the answer
+// is not there at once: the watch takes a goroutine, a read and two turns of the scheduler, as much as a small request.
+func (c *clientConn) await(x Exchange) (ans message.Answer, open bool) {
+	if c.early == nil {
+		c.early = time.NewTimer(watchAfter)
+	} else {
+		c.early.Reset(watchAfter)
+	}
+	select {
+	case ans = <-x.Answer():
+		c.early.Stop()
+		return ans, true
+	case <-c.early.C:
+	}
 	gone := c.reader.watch()
-	var ans message.Answer
 	select {
 	case ans = <-x.Answer():
 	case <-gone:
 		if c.reader.left && x.Withdraw() {
-			return 0, true, false
+			return ans, false
 		}
 		ans = <-x.Answer()
 	}
-	if !c.reader.unwatch(c, gone) {
-		return 0, true, false
-	}
-	return ans.Status, true, s.write(c, ans, q.last)
+	return ans, c.reader.unwatch(c, gone)
 }
 
 // turnAway answers a request that is not taken.
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -100,7 +100,7 @@
 				cancel()
 				<-ended
 			}()
-			b.ReportMetric((heap()-before)/float64(n), "B/pool")
+			resting := (heap() - before) / float64(n)
 			c, err := net.Dial("tcp", g.Addr("farm").String())
 			if err != nil {
 				b.Fatal(err)
@@ -129,6 +129,7 @@
 				ask()
 				asked++
 			}
+			b.ReportMetric(resting, "B/pool")
 			b.ReportMetric(float64((cpu()-began).Nanoseconds())/float64(asked), "cpu-ns/request")
 		})
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -153,9 +153,10 @@
 // quiet reports whether nothing is there to be read from the upstream, neither bytes nor the end.
 func (c *Conn) quiet() bool { return c.r.Buffered() == 0 && proc.Quiet(c.Conn) }
 
-// Keep makes c idle, unless something came behind the answer.
+// Keep makes c idle, unless something came with the answer that is not part of it. What comes later shows when it is used
+// again.
 func (u *Conns) Keep(c *Conn) {
-	if u.idleFor <= 0 || u.descriptors.Scarce() || !c.quiet() {
+	if u.idleFor <= 0 || u.descriptors.Scarce() || c.r.Buffered() > 0 {
 		c.Close()
 		return
 	}
