Write requests to servers by hand, without copies of their headers

Change: the upstream room writes a request's head itself, in place of a cloned header through http.Request.Write.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -6,11 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"net/url"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -164,16 +161,11 @@
 	p.settle(a, status, nil, message.Answer{})
 }
 
-// request is what the upstream is sent.
-func (a *attempt) request() *http.Request {
+// request is what the server is sent.
+func (a *attempt) request() *upstream.Request {
 	r := a.req
-	header := maps.Clone(r.header)
-	header["X-Timeout-Ms"] = []string{strconv.FormatInt(max(1, time.Until(a.deadline).Milliseconds()), 10)}
-	q := &http.Request{Method: r.method, URL: &url.URL{Opaque: r.uri}, Host: r.host, Header: header}
-	if len(r.body) > 0 {
-		q.Body, q.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
-	} else if r.method != http.MethodGet {
-		q.Body = http.NoBody
+	return &upstream.Request{
+		Method: r.method, Target: r.uri, Host: r.host, Header: r.header, Body: r.body,
+		TimeoutMs: max(1, time.Until(a.deadline).Milliseconds()),
 	}
-	return q
 }
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"slices"
 	"strconv"
@@ -58,7 +57,7 @@
 	case err != nil:
 		return policy.ConnectFailed, nil
 	}
-	resp, err := c.Exchange(&http.Request{Method: http.MethodGet, URL: &url.URL{Opaque: "/load"}, Host: to.Addr()})
+	resp, err := c.Exchange(&upstream.Request{Method: http.MethodGet, Target: "/load", Host: to.Addr()})
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, mostReport))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -294,18 +295,61 @@
 // Unwrap returns what it wraps.
 func (e NotWritten) Unwrap() error { return e.Err }
 
+// Request is what a server is sent.
+type Request struct {
+	Method, Target, Host string
+	Header               http.Header // as it was read of a client, so that no name or value holds a line's end
+	TimeoutMs            int64       // in place of the header's; 0: none
+	Body                 []byte
+}
+
+// write writes q. It is not left to http.Request.Write, which needs a copy of the header and a sorted one.
+func (q *Request) write(w *bufio.Writer) error {
+	w.WriteString(q.Method)
+	w.WriteByte(' ')
+	w.WriteString(q.Target)
+	w.WriteString(" HTTP/1.1\r\nHost: ")
+	w.WriteString(q.Host)
+	w.WriteString("\r\n")
+	for name, values := range q.Header {
+		if name == "Host" || name == "Content-Length" || name == "X-Timeout-Ms" {
+			continue
+		}
+		for _, v := range values {
+			w.WriteString(name)
+			w.WriteString(": ")
+			w.WriteString(v)
+			w.WriteString("\r\n")
+		}
+	}
+	var digits [20]byte
+	if q.TimeoutMs > 0 {
+		w.WriteString("X-Timeout-Ms: ")
+		w.Write(strconv.AppendInt(digits[:0], q.TimeoutMs, 10))
+		w.WriteString("\r\n")
+	}
+	if len(q.Body) > 0 || q.Method != http.MethodGet {
+		w.WriteString("Content-Length: ")
+		w.Write(strconv.AppendInt(digits[:0], int64(len(q.Body)), 10))
+		w.WriteString("\r\n")
+	}
+	w.WriteString("\r\n")
+	w.Write(q.Body)
+	return w.Flush() // it tells of any error before
+}
+
 // Exchange writes a request and reads the head of the answer.
-func (c *Conn) Exchange(q *http.Request) (*http.Response, error) {
+func (c *Conn) Exchange(q *Request) (*http.Response, error) {
 	c.budget = mostHead
-	err := q.Write(c.w)
-	if err == nil {
-		err = c.w.Flush()
-	}
-	if err != nil {
+	if err := q.write(c.w); err != nil {
 		return nil, NotWritten{Err: err}
 	}
+	var asked *http.Request
+	if q.Method == http.MethodHead { // its answer has no body, whatever it says
+		asked = &http.Request{Method: q.Method}
+	}
 	for range mostInterim {
-		resp, err := http.ReadResponse(c.r, q)
+		resp, err := http.ReadResponse(c.r, asked)
 		if err != nil {
 			return nil, err
 		}
