--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,354 @@
+// Package hop reads and writes the fields that cross between two sites with a request and its answer, as
+// docs/protocol/hop.md has them: dictionaries of RFC 9651. It opens no socket and decides nothing but whether a field can be
+// read and is within its bounds; whether its sender may send it at all is for who received it.
+package hop
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dunglas/httpsfv"
+)
+
+// The names of the fields.
+const (
+	RequestField = "Sorrel-Hop"
+	AnswerField  = "Sorrel-Hop-Answer"
+)
+
+// Version is the highest that this package knows.
+const Version = 1
+
+const (
+	// mostField bounds a field, mostText a string in it, and mostPrior the groups that may have run a request.
+	mostField = 4 << 10
+	mostText  = 256
+	mostPrior = 8
+	// mostTime bounds any length of time, mostCount any number.
+	mostTime  = 24 * time.Hour
+	mostCount = 1 << 20
+	// mostAttempts bounds the attempts of one request over all sites.
+	mostAttempts = 16
+)
+
+// The errors of reading a field.
+var (
+	ErrVersion = errors.New("hop: a version that is not known") // 505
+	ErrLoop    = errors.New("hop: a second hop")                // 508
+	ErrField   = errors.New("hop: the field cannot be read")    // 400
+)
+
+// Request is what crosses with a request.
+type Request struct {
+	Left   time.Duration // that the client still waits; above 0
+	Class  string
+	Tenant string
+	Key    string        // of the module, "" if there is none
+	Cost   time.Duration // rough work; 0: not known
+	Retry  bool          // the client marked it as a retry
+	Used   int           // attempts made so far
+	May    int           // further attempts that the far site may make, at least 1
+	Ran    []Prior       // groups that may have run it
+	Origin string
+	Passed []string // sites, the origin first
+}
+
+// Prior is a group that may have run a request, and how long it still drops a repeat.
+type Prior struct {
+	Group Group
+	For   time.Duration
+}
+
+// Group says who drops a repeat: all (the zero Group), the servers of a zone, or those of a cell of a zone.
+type Group struct {
+	Zone   string
+	Cell   int // in Zone, if InCell
+	InCell bool
+}
+
+// String is the group as it crosses.
+func (g Group) String() string {
+	switch {
+	case g.Zone == "" && !g.InCell:
+		return "all"
+	case g.InCell:
+		return "cell:" + g.Zone + "/" + strconv.Itoa(g.Cell)
+	}
+	return "zone:" + g.Zone
+}
+
+func parseGroup(text string) (Group, error) {
+	if text == "all" {
+		return Group{}, nil
+	}
+	if zone, ok := strings.CutPrefix(text, "zone:"); ok && zone != "" {
+		return Group{Zone: zone}, nil
+	}
+	rest, ok := strings.CutPrefix(text, "cell:")
+	i := strings.LastIndexByte(rest, '/')
+	if ok && i >= 0 {
+		if n, err := strconv.ParseUint(rest[i+1:], 10, 20); err == nil {
+			return Group{Zone: rest[:i], Cell: int(n), InCell: true}, nil
+		}
+	}
+	return Group{}, fmt.Errorf("%w: group %.80q", ErrField, text)
+}
+
+// Reaches reports whether a server of a zone and cell is of the group.
+func (g Group) Reaches(zone string, cell int) bool {
+	return g.Zone == "" && !g.InCell || g.Zone == zone && (!g.InCell || g.Cell == cell)
+}
+
+// How says how a request ended at the far site.
+type How string
+
+// The ends, and the one word on the way there.
+const (
+	Taken      How = "taken" // on an interim answer: the request is whole and being worked on
+	Served     How = "served"
+	Refused    How = "refused"      // nothing has run
+	MayHaveRun How = "may-have-run" // also what is taken of an answer that cannot be read
+)
+
+// Answer is what crosses with an answer.
+type Answer struct {
+	How   How
+	Spent int           // attempts made there
+	Room  int           // requests granted from now on
+	Wait  time.Duration // with Refused: until room is expected; 0: not known
+}
+
+// String is the request as its field has it. It is the inverse of ParseRequest for what that accepts.
+func (r *Request) String() (string, error) {
+	d := httpsfv.NewDictionary()
+	add := func(key string, v any) { d.Add(key, httpsfv.NewItem(v)) }
+	add("v", int64(Version))
+	add("left", r.Left.Microseconds())
+	add("class", r.Class)
+	for key, v := range map[string]string{"tenant": r.Tenant, "key": r.Key} {
+		if v != "" {
+			add(key, v)
+		}
+	}
+	if r.Cost > 0 {
+		add("cost", r.Cost.Microseconds())
+	}
+	if r.Retry {
+		add("retry", true)
+	}
+	add("used", int64(r.Used))
+	add("may", int64(r.May))
+	if len(r.Ran) > 0 {
+		list := httpsfv.InnerList{Params: httpsfv.NewParams()}
+		for _, p := range r.Ran {
+			item := httpsfv.NewItem(p.Group.String())
+			item.Params.Add("for", p.For.Microseconds())
+			list.Items = append(list.Items, item)
+		}
+		d.Add("ran", list)
+	}
+	add("origin", r.Origin)
+	passed := httpsfv.InnerList{Params: httpsfv.NewParams()}
+	for _, site := range r.Passed {
+		passed.Items = append(passed.Items, httpsfv.NewItem(site))
+	}
+	d.Add("passed", passed)
+	return httpsfv.Marshal(d)
+}
+
+// reader reads a dictionary and keeps the first error.
+type reader struct {
+	d   *httpsfv.Dictionary
+	err error
+}
+
+func newReader(field []string) (*reader, error) {
+	n := 0
+	for _, f := range field {
+		n += len(f)
+	}
+	if n == 0 || n > mostField {
+		return nil, fmt.Errorf("%w: %d bytes", ErrField, n)
+	}
+	d, err := httpsfv.UnmarshalDictionary(field)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrField, err)
+	}
+	r := &reader{d: d}
+	v := r.whole("v", true, mostCount)
+	if r.err == nil && v != Version {
+		return nil, fmt.Errorf("%w: %d", ErrVersion, v)
+	}
+	return r, r.err
+}
+
+func (r *reader) bad(key, what string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%w: %s %s", ErrField, key, what)
+	}
+}
+
+// item returns the value under key, or nil.
+func (r *reader) item(key string, needed bool) any {
+	m, ok := r.d.Get(key)
+	if !ok {
+		if needed {
+			r.bad(key, "is missing")
+		}
+		return nil
+	}
+	item, ok := m.(httpsfv.Item)
+	if !ok {
+		r.bad(key, "is a list")
+		return nil
+	}
+	return item.Value
+}
+
+func (r *reader) whole(key string, needed bool, most int64) int64 {
+	switch v := r.item(key, needed).(type) {
+	case nil:
+	case int64:
+		if v >= 0 && v <= most {
+			return v
+		}
+		r.bad(key, "is out of range")
+	default:
+		r.bad(key, "is no integer")
+	}
+	return 0
+}
+
+func (r *reader) duration(key string, needed bool) time.Duration {
+	return time.Duration(r.whole(key, needed, mostTime.Microseconds())) * time.Microsecond
+}
+
+func (r *reader) text(key string, needed bool) string {
+	switch v := r.item(key, needed).(type) {
+	case nil:
+	case string:
+		if len(v) <= mostText && (v != "" || !needed) {
+			return v
+		}
+		r.bad(key, "is empty or too long")
+	default:
+		r.bad(key, "is no string")
+	}
+	return ""
+}
+
+// list returns the inner list under key.
+func (r *reader) list(key string, needed bool, most int) []httpsfv.Item {
+	m, ok := r.d.Get(key)
+	if !ok {
+		if needed {
+			r.bad(key, "is missing")
+		}
+		return nil
+	}
+	l, ok := m.(httpsfv.InnerList)
+	if !ok || len(l.Items) > most {
+		r.bad(key, "is no list, or too long a one")
+		return nil
+	}
+	return l.Items
+}
+
+// ParseRequest reads the field of a request at the site self. The error is ErrVersion, ErrLoop or ErrField.
+func ParseRequest(field []string, self string) (*Request, error) {
+	r, err := newReader(field)
+	if err != nil {
+		return nil, err
+	}
+	q := &Request{
+		Left: r.duration("left", true), Class: r.text("class", true), Tenant: r.text("tenant", false), Key: r.text("key", false),
+		Cost: r.duration("cost", false), Used: int(r.whole("used", true, mostAttempts)), May: int(r.whole("may", true, mostAttempts)),
+		Origin: r.text("origin", true),
+	}
+	switch v := r.item("retry", false).(type) {
+	case nil:
+	case bool:
+		q.Retry = v
+	default:
+		r.bad("retry", "is no boolean")
+	}
+	if r.err == nil && q.Left <= 0 {
+		r.bad("left", "is 0")
+	}
+	if r.err == nil && q.May < 1 {
+		r.bad("may", "is 0")
+	}
+	for _, item := range r.list("ran", false, mostPrior) {
+		text, ok := item.Value.(string)
+		us, has := item.Params.Get("for")
+		n, whole := us.(int64)
+		if !ok || !has || !whole || len(text) > mostText || n < 0 || n > mostTime.Microseconds() {
+			r.bad("ran", "has an entry that cannot be read")
+			break
+		}
+		g, err := parseGroup(text)
+		if err != nil {
+			return nil, err
+		}
+		q.Ran = append(q.Ran, Prior{g, time.Duration(n) * time.Microsecond})
+	}
+	for _, item := range r.list("passed", true, mostPrior) {
+		site, ok := item.Value.(string)
+		if !ok || site == "" || len(site) > mostText {
+			r.bad("passed", "has an entry that is no site")
+			break
+		}
+		q.Passed = append(q.Passed, site)
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	if len(q.Passed) != 1 || q.Passed[0] != q.Origin || q.Origin == self {
+		return nil, fmt.Errorf("%w: from %q by way of %q at %q", ErrLoop, q.Origin, q.Passed, self)
+	}
+	return q, nil
+}
+
+// String is the answer as its field has it.
+func (a *Answer) String() (string, error) {
+	d := httpsfv.NewDictionary()
+	add := func(key string, v any) { d.Add(key, httpsfv.NewItem(v)) }
+	add("v", int64(Version))
+	add("how", httpsfv.Token(a.How))
+	add("spent", int64(a.Spent))
+	add("room", int64(a.Room))
+	if a.Wait > 0 {
+		add("wait", a.Wait.Microseconds())
+	}
+	return httpsfv.Marshal(d)
+}
+
+// ParseAnswer reads the field of an answer to a request that might make so many attempts. What cannot be read, or says less
+// than it should, is taken for the worst: it may have run, all attempts are spent, and nothing is granted.
+func ParseAnswer(field []string, may int) (Answer, error) {
+	worst := Answer{How: MayHaveRun, Spent: may}
+	r, err := newReader(field)
+	if err != nil {
+		return worst, err
+	}
+	a := Answer{Spent: int(r.whole("spent", true, mostAttempts)), Room: int(r.whole("room", true, mostCount)), Wait: r.duration("wait", false)}
+	word, ok := r.item("how", true).(httpsfv.Token)
+	switch a.How = How(word); a.How {
+	case Taken, Served, Refused, MayHaveRun:
+	default:
+		ok = false
+	}
+	if !ok {
+		r.bad("how", "is no word of this version")
+	}
+	if r.err == nil && a.Spent > may {
+		r.bad("spent", "is more than was allowed")
+	}
+	if r.err != nil {
+		return worst, r.err
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,166 @@
+package hop
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawRequest(t *rapid.T) *Request {
+	text := rapid.StringMatching(`[ -~]{1,40}`)
+	us := rapid.Map(rapid.Int64Range(1, mostTime.Microseconds()), func(n int64) time.Duration { return time.Duration(n) * time.Microsecond })
+	zone := rapid.StringMatching(`[a-z][a-z-]{0,20}`)
+	q := &Request{
+		Left: us.Draw(t, "left"), Class: text.Draw(t, "class"), Origin: text.Draw(t, "origin"),
+		Used: rapid.IntRange(0, mostAttempts).Draw(t, "used"), May: rapid.IntRange(1, mostAttempts).Draw(t, "may"),
+		Retry: rapid.Bool().Draw(t, "retry"),
+	}
+	if rapid.Bool().Draw(t, "more") {
+		q.Tenant, q.Key, q.Cost = text.Draw(t, "tenant"), text.Draw(t, "key"), us.Draw(t, "cost")
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "ran") {
+		g := Group{}
+		switch rapid.IntRange(0, 2).Draw(t, "group") {
+		case 1:
+			g.Zone = zone.Draw(t, "zone")
+		case 2:
+			g = Group{Zone: zone.Draw(t, "zone"), Cell: rapid.IntRange(0, 1000).Draw(t, "cell"), InCell: true}
+		}
+		q.Ran = append(q.Ran, Prior{g, us.Draw(t, "for")})
+	}
+	q.Passed = []string{q.Origin}
+	return q
+}
+
+// TestRoundTrip guards against anything of a request that is lost or changed on its way.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := drawRequest(t)
+		text, err := q.String()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := ParseRequest([]string{text}, q.Origin+" not")
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		if !reflect.DeepEqual(q, got) {
+			t.Fatalf("sent %+v, got %+v", q, got)
+		}
+		if _, err := ParseRequest([]string{text}, q.Origin); !errors.Is(err, ErrLoop) {
+			t.Fatalf("a request that is back where it began: %v", err)
+		}
+		q.Passed = append(q.Passed, "third")
+		if text, err = q.String(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseRequest([]string{text}, "fourth"); !errors.Is(err, ErrLoop) {
+			t.Fatalf("a second hop: %v", err)
+		}
+		a := Answer{
+			How: rapid.SampledFrom([]How{Taken, Served, Refused, MayHaveRun}).Draw(t, "how"), Spent: rapid.IntRange(0, q.May).Draw(t, "spent"),
+			Room: rapid.IntRange(0, mostCount).Draw(t, "room"), Wait: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "wait")) * time.Microsecond,
+		}
+		if text, err = a.String(); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := ParseAnswer([]string{text}, q.May); err != nil || got != a {
+			t.Fatalf("%s: %+v, %v", text, got, err)
+		}
+	})
+}
+
+const good = `v=1, left=400000, class="order", used=1, may=2, origin="a", passed=("a")`
+
+// TestBadRequests guards against taking over what a peer cannot have meant.
+func TestBadRequests(t *testing.T) {
+	if _, err := ParseRequest([]string{good}, "b"); err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]error{
+		"":                                       ErrField,
+		"v=1":                                    ErrField,
+		"v=2":                                    ErrVersion,
+		"v=1;":                                   ErrField,
+		strings.Replace(good, "v=1", "v=2", 1):   ErrVersion,
+		strings.Replace(good, "v=1", `v="1"`, 1): ErrField,
+		strings.Replace(good, "left=400000", "left=0", 1):              ErrField,
+		strings.Replace(good, "left=400000", "left=-5", 1):             ErrField,
+		strings.Replace(good, "left=400000", "left=0.5", 1):            ErrField,
+		strings.Replace(good, "left=400000", "left=99999999999999", 1): ErrField,
+		strings.Replace(good, `class="order", `, "", 1):                ErrField,
+		strings.Replace(good, `"order"`, `""`, 1):                      ErrField,
+		strings.Replace(good, "may=2", "may=0", 1):                     ErrField,
+		strings.Replace(good, "may=2", "may=1000", 1):                  ErrField,
+		strings.Replace(good, `("a")`, `"a"`, 1):                       ErrField,
+		strings.Replace(good, `("a")`, `()`, 1):                        ErrLoop,
+		strings.Replace(good, `("a")`, `("c")`, 1):                     ErrLoop,
+		good + `, ran=("all")`:                                         ErrField,
+		good + `, ran=("none";for=5)`:                                  ErrField,
+		good + `, ran=("cell:x";for=5)`:                                ErrField,
+		good + `, ran=(7;for=5)`:                                       ErrField,
+		good + `, retry=1`:                                             ErrField,
+		good + `, tenant=("x")`:                                        ErrField,
+		good + `, key="` + strings.Repeat("k", mostText+1) + `"`:       ErrField,
+		good + `, x="` + strings.Repeat("k", mostField) + `"`:          ErrField,
+	} {
+		if q, err := ParseRequest([]string{text}, "b"); !errors.Is(err, want) {
+			t.Errorf("%.120s: got %+v, %v, want %v", text, q, err, want)
+		}
+	}
+}
+
+// TestBadAnswers guards against believing that nothing ran where the answer does not say so.
+func TestBadAnswers(t *testing.T) {
+	for _, text := range []string{
+		"", "v=2, how=refused, spent=0, room=5", "v=1, spent=0, room=5", `v=1, how="refused", spent=0, room=5`, "v=1, how=gone, spent=0, room=5",
+		"v=1, how=refused, room=5", "v=1, how=refused, spent=3, room=5", "v=1, how=refused, spent=0", "how=refused", "v=1, how=refused, spent=0, room=-1",
+	} {
+		if a, err := ParseAnswer([]string{text}, 2); err == nil || a != (Answer{How: MayHaveRun, Spent: 2}) {
+			t.Errorf("%q: %+v, %v", text, a, err)
+		}
+	}
+}
+
+func TestReaches(t *testing.T) {
+	for _, c := range []struct {
+		group string
+		zone  string
+		cell  int
+		want  bool
+	}{
+		{"all", "a", 1, true}, {"zone:a", "a", 1, true}, {"zone:a", "b", 1, false},
+		{"cell:a/1", "a", 1, true}, {"cell:a/1", "a", 2, false}, {"cell:a/1", "b", 1, false},
+	} {
+		g, err := parseGroup(c.group)
+		if err != nil || g.String() != c.group || g.Reaches(c.zone, c.cell) != c.want {
+			t.Errorf("%s and %s/%d: %v, %v", c.group, c.zone, c.cell, g, err)
+		}
+	}
+}
+
+// FuzzParse guards against a panic, and against accepting what is then written otherwise.
+func FuzzParse(f *testing.F) {
+	f.Add(good, "b")
+	f.Add(good+`, ran=("all";for=5 "zone:x";for=7 "cell:x/3";for=0), tenant="t", key="k", cost=9, retry`, "b")
+	f.Add("v=1, how=served, spent=1, room=3", "")
+	f.Fuzz(func(t *testing.T, text, self string) {
+		if q, err := ParseRequest([]string{text}, self); err == nil {
+			again, err := q.String()
+			if err != nil {
+				t.Fatalf("%q is read and cannot be written: %v", text, err)
+			}
+			back, err := ParseRequest([]string{again}, self)
+			if err != nil || !reflect.DeepEqual(q, back) {
+				t.Fatalf("%q became %q: %+v, %+v, %v", text, again, q, back, err)
+			}
+		}
+		if a, err := ParseAnswer([]string{text}, 3); err != nil && (a.How != MayHaveRun || a.Spent != 3 || a.Room != 0) {
+			t.Fatalf("%q cannot be read and is taken for %+v", text, a)
+		}
+	})
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 )
 
@@ -267,13 +266,3 @@
 	}
 	return false
 }
-
-// Pools are the pools that the routes lead to, each once and in order.
-func Pools(routes []Route) []string {
-	var pools []string
-	for _, r := range routes {
-		pools = append(pools, r.Pool)
-	}
-	slices.Sort(pools)
-	return slices.Compact(pools)
-}
--- a/internal/share/pot.go
+++ b/internal/share/pot.go
@@ -38,9 +38,6 @@
 // NewPot returns a Pot of total units, which is at least 0.
 func NewPot(total int64) Pot { return Pot{total: max(0, total), claims: map[Key]*claim{}} }
 
-// Total is the size of the whole.
-func (p *Pot) Total() int64 { return p.total }
-
 // Resize makes total the size of the whole. What is taken beyond it stays taken until it is given back.
 func (p *Pot) Resize(total int64) { p.total = max(0, total) }
 
