--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -15,7 +15,10 @@
 
 	mu     sync.Mutex
 	delay  time.Duration
-	still  chan struct{} // not nil: nothing passes until it is closed
+	rate   int               // bytes a second each way of all connections together; 0: no limit
+	busy   [2]time.Time      // until when each way is taken
+	stuck  map[net.Conn]bool // near sides that stand still for good
+	still  chan struct{}     // not nil: nothing passes until it is closed
 	conns  map[net.Conn]struct{}
 	closed bool
 }
@@ -29,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{target: target, ln: ln, conns: map[net.Conn]struct{}{}}
+	r := &Relay{target: target, ln: ln, conns: map[net.Conn]struct{}{}, stuck: map[net.Conn]bool{}}
 	r.done.Go(r.accept)
 	return r, nil
 }
@@ -44,6 +47,33 @@
 	r.delay = d
 }
 
+// Rate makes the link carry so many bytes a second each way, whatever the connections. 0 is no limit.
+func (r *Relay) Rate(bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate = bytes
+}
+
+// StallOne makes one of the connections that there are stand still for good, and reports whether there was one.
+func (r *Relay) StallOne() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if c.LocalAddr().String() == r.ln.Addr().String() && !r.stuck[c] { // a near side
+			r.stuck[c] = true
+			return true
+		}
+	}
+	return false
+}
+
+// Conns is how many connections the link carries.
+func (r *Relay) Conns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns) / 2
+}
+
 // Stall makes the link stand still, or go on: then all that was held passes.
 func (r *Relay) Stall(on bool) {
 	r.mu.Lock()
@@ -105,6 +135,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.conns, c)
+	delete(r.stuck, c)
 }
 
 func (r *Relay) pass(near net.Conn) {
@@ -125,8 +156,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(far, near) })
-	both.Go(func() { r.copy(near, far) })
+	both.Go(func() { r.copy(far, near, near, 0) })
+	both.Go(func() { r.copy(near, far, near, 1) })
 	both.Wait()
 }
 
@@ -149,20 +180,40 @@
 	due   time.Time
 }
 
-// copy passes what comes from one connection to another, each part after the link's delay.
-func (r *Relay) copy(to, from net.Conn) {
+// due is when what has just been read comes out at the other end, if it goes that way: after the link's delay, and after what
+// went before it.
+func (r *Relay) due(n, way int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := time.Now()
+	if r.rate > 0 {
+		if r.busy[way].After(at) {
+			at = r.busy[way]
+		}
+		at = at.Add(time.Duration(n) * time.Second / time.Duration(r.rate))
+		r.busy[way] = at
+	}
+	return at.Add(r.delay)
+}
+
+// held reports whether the connection with that near side stands still for good.
+func (r *Relay) held(near net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stuck[near]
+}
+
+// copy passes what comes from one connection to another, one way of the connection with that near side.
+func (r *Relay) copy(to, from, near net.Conn, way int) {
 	defer r.drop(to)
-	way := make(chan chunk, 16)
+	parts := make(chan chunk, 16)
 	go func() {
-		defer close(way)
+		defer close(parts)
 		for {
 			b := make([]byte, relayBuffer)
 			n, err := from.Read(b)
 			if n > 0 {
-				r.mu.Lock()
-				delay := r.delay
-				r.mu.Unlock()
-				way <- chunk{b[:n], time.Now().Add(delay)}
+				parts <- chunk{b[:n], r.due(n, way)}
 			}
 			if err != nil {
 				return
@@ -170,8 +221,8 @@
 		}
 	}()
 	broken := false
-	for c := range way {
-		if broken {
+	for c := range parts {
+		if broken || r.held(near) { // what stands still is lost to its readers, who see an open connection
 			continue
 		}
 		time.Sleep(time.Until(c.due))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,14 +1,22 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"heathstack/policy"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // none is a process without a free descriptor.
 type none struct{}
 
@@ -30,3 +38,45 @@
 		t.Errorf("got %v, want NoDescriptor", err)
 	}
 }
+
+// TestRequestText guards against what a server would read otherwise than it was meant, and against a length of its own that
+// a client sent along.
+func TestRequestText(t *testing.T) {
+	for name, c := range map[string]struct {
+		q    Request
+		want string
+	}{
+		"get": {Request{Method: "GET", Target: "/a?b=%2f", Host: "h"}, "GET /a?b=%2f HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"body": {Request{Method: "POST", Target: "/a", Host: "h", Body: []byte("hello"), TimeoutMs: 300,
+			Header: http.Header{"Content-Length": {"7"}, "X-Timeout-Ms": {"999"}, "X-Request-Id": {"i"}, "Host": {"other"}}},
+			"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: i\r\nX-Timeout-Ms: 300\r\nContent-Length: 5\r\n\r\nhello"},
+		"no body": {Request{Method: "POST", Target: "/a", Host: "h"}, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"},
+		"several": {Request{Method: "GET", Target: "/a", Host: "h", Header: http.Header{"X": {"1", "2"}}}, "GET /a HTTP/1.1\r\nHost: h\r\nX: 1\r\nX: 2\r\n\r\n"},
+	} {
+		var b bytes.Buffer
+		w := bufio.NewWriterSize(&b, 16) // so that it is written in parts
+		if err := c.q.write(w); err != nil || b.String() != c.want {
+			t.Errorf("%s: %v, %q, want %q", name, err, b.String(), c.want)
+		}
+	}
+}
+
+// broken fails after some bytes.
+type broken struct{ left int }
+
+func (b *broken) Write(p []byte) (int, error) {
+	if b.left -= len(p); b.left < 0 {
+		return 0, io.ErrClosedPipe
+	}
+	return len(p), nil
+}
+
+// TestRequestNotWritten guards against taking a request for written of which a part is missing.
+func TestRequestNotWritten(t *testing.T) {
+	q := Request{Method: "POST", Target: "/a", Host: "h", Body: bytes.Repeat([]byte("b"), 10000)}
+	for _, left := range []int{0, 20, 5000, 10000} {
+		if err := q.write(bufio.NewWriterSize(&broken{left}, 64)); err == nil {
+			t.Errorf("broken after %d bytes, and written", left)
+		}
+	}
+}
