Name the import rules of the new packages

Need: the test of the import rules failed for internal/hop and internal/spill, which had none.

Measured: the command's tests pass.

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -100,7 +100,7 @@
 		for _, p := range needs(t, command) {
 			for _, heavy := range []string{
 				"github.com/", "google.golang.org/", "go.uber.org/", "pgregory.net/", "heathstack/internal/lab", "heathstack/internal/opfile",
-				"heathstack/internal/standin",
+				"heathstack/internal/standin", "heathstack/internal/hop",
 			} {
 				if strings.HasPrefix(p, heavy) {
 					t.Errorf("%s links %s", command, p)
@@ -132,6 +132,8 @@
 	},
 	"internal/sidecar": {"internal/gateway", "internal/settings", "internal/source"},
 	"internal/opfile":  {"policy", "internal/gateway", "internal/message", "internal/route", "internal/source"},
+	"internal/hop":     {},
+	"internal/spill":   {},
 	"internal/standin": {}, // shares no code with what it watches
 	"internal/lab":     {"internal/standin"},
 	"cmd/adapter":      {"internal/wire"},
@@ -140,7 +142,7 @@
 }
 
 // pure modules read no clock, open nothing and start nothing.
-var pure = []string{"policy", "internal/route", "internal/share"}
+var pure = []string{"policy", "internal/route", "internal/share", "internal/spill"}
 
 // TestImports holds the rules of docs/ARCHITECTURE.md.
 func TestImports(t *testing.T) {
