--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -364,9 +364,7 @@
 		if g.listeners[l] != nil {
 			continue
 		}
-		// Connections without a request do not live long enough for keep-alive probes, which cost four system calls each.
-		lc := net.ListenConfig{KeepAlive: -1}
-		ln, err := lc.Listen(g.ctx, "tcp", l.Address)
+		ln, err := net.Listen("tcp", l.Address)
 		if err != nil {
 			for _, ln := range opened {
 				ln.Close()
