--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,11 @@
 	maxReadySet = 5
 	// probeSpend is what probing may cost in points of the result; with the tariff it gives the period T.
 	probeSpend = 0.05
+	// tellsFor is how long what a sidecar's own traffic has told of its set holds: one that has a request more often spends
+	// less on probes by as much, down to leastProbes of probeSpend. Eighty sidecars that each probe at the full price learn what
+	// their answers tell them anyway. Too little of it would leave marks and thresholds to chance.
+	tellsFor    = 600 * time.Millisecond
+	leastProbes = 0.3
 	// refusedShare of it is spent on a request that ends up refused: it comes back up to three times.
 	refusedShare = 0.4
 	// connSpend is what held connections may cost in points; with the tariff it sizes the ready set.
@@ -69,6 +74,8 @@
 	markLife  time.Duration // marks older than this have gone stale
 	busy      float64       // share of probes that found a request waiting
 	credit    float64       // probes that the traffic so far has paid for
+	came      Time          // the latest request
+	every     time.Duration // smoothed: from one request to the next
 	hedges    float64       // second copies that the traffic so far, and copies that answered first, have paid for
 	copyWins  float64       // smoothed: share of second copies that answered first
 
@@ -89,7 +96,7 @@
 	b := &Balancer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		threshold: math.Inf(1), credit: probeSample, busy: 1,
+		threshold: math.Inf(1), credit: probeSample, busy: 1, every: tellsFor,
 	}
 	for _, c := range cfg.Classes {
 		b.classes[c.Name] = &class{Class: c}
@@ -210,6 +217,8 @@
 		r.attempts = append(r.attempts, attempt{zone: p.Zone, cell: p.Cell, notRun: p.NotRun, sent: now + p.For - c.KeyTTL})
 	}
 	b.requests[q.ID] = r
+	b.every += time.Duration(smooth * float64(min(now-b.came, 4*tellsFor)-b.every))
+	b.came = now
 	r.began, r.tick = c.began(now, q, b.cfg.Tick), b.cfg.Tick
 	r.span()
 	// Under overload what is worth less for its time gives way first, by standing less of a queue.
@@ -244,6 +253,7 @@
 // earn credits the probes that a share of a request pays for: all of them after a failure or while they
 // find requests waiting, and down to a tenth while they find none, when any server will do.
 func (b *Balancer) earn(share float64) {
+	share *= min(1, max(leastProbes, float64(b.every)/float64(tellsFor)))
 	b.credit = min(b.credit+share*max(b.busy, 0.1)*probeSpend/max(b.cfg.ProbeTariff, 1e-9), probeSample)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -567,3 +567,39 @@
 		t.Errorf("%d servers are avoided when that is over", n)
 	}
 }
+
+// A sidecar whose own traffic tells of its set spends less on probes than one that sends little. Seen to fail with one price
+// for all: some eighty sidecars together then paid four points for what their answers told them anyway.
+func TestProbesSpendLessWhereTrafficTells(t *testing.T) {
+	probesEach := func(gap time.Duration) float64 {
+		cfg := testConfig()
+		cfg.ProbeTariff = 0.05
+		b, rec := start(t, cfg, 10)
+		const requests = 400
+		probes := 0
+		now := time.Hour
+		for i := range requests {
+			now += gap
+			id := RequestID(i + 1)
+			b.Request(now, Request{ID: id, Class: "safe", Expires: now + time.Second}, rec)
+			for _, l := range rec.lines {
+				if s, ok := strings.CutPrefix(l, "probe "); ok { // all are busy, so that probing pays
+					probes++
+					b.Probed(now, ProbeResult{Server: ServerID(s), Load: &Load{Queue: 1}}, rec)
+				}
+			}
+			for _, l := range rec.take("send") {
+				s := ServerID(l[strings.LastIndexByte(l, ' ')+1:])
+				b.Outcome(now+10*time.Millisecond, Outcome{ID: id, Server: s, Delay: 10 * time.Millisecond, Closed: true}, rec)
+			}
+		}
+		return float64(probes) / requests
+	}
+	much, little := probesEach(20*time.Millisecond), probesEach(2*time.Second)
+	if little < 0.8 || much > 0.6*little {
+		t.Errorf("%.2f probes a request with much traffic, %.2f with little", much, little)
+	}
+	if much < 0.1 {
+		t.Errorf("%.2f probes a request with much traffic: marks and thresholds are left to chance", much)
+	}
+}
