Tell figures each second in the log if asked, and count them over a fleet: sorrelrudder fleet

Need: to see where the tries of 80 sidecars end, and what they do to what all share, by second.

Change: internal/tally (pure) counts what a pool sees and does in a spell and writes it as one log line; GW_FIGURES_EVERY (cairnpick) and process.figures_every (the operator's file) turn it on, off by default. sorrelrudder fleet LOGS sums the lines of a fleet by spell, as table or JSON.

--- /dev/null
+++ b/cmd/sorrelrudder/fleet_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Two processes are counted together by spell; what is no line of figures is passed over, a log cut off within a line too.
+func TestFleetCountsOverLogs(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"a.log": "x time=2026-01-02T03:04:05.0Z level=INFO msg=figures pool=p taken=3 aim=2 refused=1 listed=60 warming=30 avoided=1 open=0 usual=100ms short=0.50\n" +
+			"time=2026-01-02T03:04:06.2Z level=INFO msg=figures pool=q taken=9 listed=60 warming=0 avoided=0 open=0 usual=100ms short=0.00\n",
+		"b.log": "not a line\ntime=2026-01-02T03:04:05.9Z level=INFO msg=figures pool=p taken=1 dials=4 listed=60 warming=0 avoided=0 open=0 usual=300ms short=0.10\ntime=2026-01-02T03:04:06.5Z level=INFO msg=fig",
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, out, errs := call("fleet", "--json", "--pool", "p", dir)
+	want := `{"at_s":0,"processes":2,"counts":{"again":0,"aim":2,`
+	if code != 0 || !strings.HasPrefix(out, want) || strings.Count(out, "\n") != 1 || !strings.Contains(out, `"taken":4,`) ||
+		!strings.Contains(out, `"usual_ms":150,`) || !strings.Contains(out, `"warming_each":15,`) || !strings.Contains(out, `"dials":4,`) {
+		t.Errorf("exit %d\n%s%s", code, out, errs)
+	}
+	if code, out, errs = call("fleet", dir); code != 0 || !strings.Contains(out, "all") || !strings.Contains(out, "13") {
+		t.Errorf("exit %d\n%s%s", code, out, errs)
+	}
+	if code, _, errs = call("fleet", "--pool", "none", dir); code != 1 || !strings.Contains(errs, "figures_every") {
+		t.Errorf("exit %d: %s", code, errs)
+	}
+	if code, _, errs = call("fleet", dir+"/none"); code != 2 {
+		t.Errorf("exit %d: %s", code, errs)
+	}
+}
--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -36,6 +36,7 @@
 	Run     runCmd     `cmd:"" help:"Run a gateway from an operator's file. SIGHUP reads the file again, SIGTERM drains and ends."`
 	Check   checkCmd   `cmd:"" help:"Check an operator's file: every error with file, line and key; exit 2 if there is any."`
 	Route   routeCmd   `cmd:"" help:"Tell which route and class of an operator's file take a request."`
+	Fleet   fleetCmd   `cmd:"" help:"Count over a fleet what its processes tell in their logs (figures_every, GW_FIGURES_EVERY)."`
 	Lab     labCmd     `cmd:"" help:"Play a scenario on loopback against stand-ins and check the four rules; exit 1 if one broke or a bound was missed."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Proxy   proxyCmd   `cmd:"" hidden:"" help:"The plain reverse proxy that 'lab cost' compares with."`
--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -129,9 +129,10 @@
 	"internal/tlsfiles":  {},
 	"internal/plain":     {"policy", "internal/classify", "internal/message", "internal/pool", "internal/upstream"},
 	"internal/figures":   {},
+	"internal/tally":     {},
 	"internal/fixedseed": {},
 	"internal/admin":     {"internal/figures"},
-	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/upstream"},
+	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
 	"internal/keep":      {},
 	"internal/front":     {"internal/keep", "internal/message", "internal/proc"},
 	"internal/gateway": {
@@ -151,11 +152,11 @@
 	"internal/lab":     {"internal/standin"},
 	"cmd/adapter":      {"internal/wire"},
 	"cmd/cairnpick":    {"internal/sidecar"},
-	"cmd/sorrelrudder": {"internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile"},
+	"cmd/sorrelrudder": {"internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile", "internal/tally"},
 }
 
 // pure modules read no clock, open nothing and start nothing.
-var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill"}
+var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally"}
 
 // TestImports holds the rules of docs/ARCHITECTURE.md.
 func TestImports(t *testing.T) {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"time"
 
 	"sorrelrudder/internal/admin"
 	"sorrelrudder/internal/front"
@@ -26,6 +27,9 @@
 	Pools       []Pool
 	Routes      []route.Route // none: all requests are for the only pool
 	Admin       string        // address of the operators' door; empty: none. Read at the start only
+
+	// FiguresEvery is how often the log is told what each pool saw and did; 0: never. Read as a pool starts.
+	FiguresEvery time.Duration
 }
 
 // Listener is where clients connect.
@@ -80,6 +84,8 @@
 	// LeastMemoryMB and LeastDescriptors are the least that a process can work with.
 	LeastMemoryMB    = 24
 	LeastDescriptors = 64
+	// LeastFiguresEvery bounds how often the log is told figures.
+	LeastFiguresEvery = 100 * time.Millisecond
 	// keptShare is the part of each resource that is kept for the pools by their weights.
 	keptShare = 0.5
 	// freshShare is the part of the clients' descriptors that is kept for connections that have brought no request yet.
@@ -111,6 +117,9 @@
 	if c.MemoryMB < LeastMemoryMB {
 		errs = append(errs, fmt.Errorf("the memory is %d MB, below %d", c.MemoryMB, LeastMemoryMB))
 	}
+	if c.FiguresEvery != 0 && c.FiguresEvery < LeastFiguresEvery {
+		errs = append(errs, fmt.Errorf("figures every %v, more often than every %v", c.FiguresEvery, LeastFiguresEvery))
+	}
 	if n := c.usable(); n < LeastDescriptors {
 		errs = append(errs, fmt.Errorf("%d descriptors are left for connections beside listeners and discoveries, below %d", n, LeastDescriptors))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -304,7 +304,7 @@
 			defer g.shares.Unlock()
 			g.admission.Ready(m.key, n)
 		},
-		Counts: &g.counts, Serves: func() bool {
+		FiguresEvery: c.FiguresEvery, Counts: &g.counts, Serves: func() bool {
 			g.shares.Lock()
 			defer g.shares.Unlock()
 			return g.admission.Serves(m.key)
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -84,6 +84,7 @@
 	process := s.table("process")
 	c.Name = process.str("name", "sorrelrudder")
 	c.MemoryMB = int(process.size("memory", 192<<20, gateway.LeastMemoryMB<<20, 1<<40) >> 20)
+	c.FiguresEvery = process.duration("figures_every", 0, 0, time.Hour)
 	c.Descriptors = int(process.whole("descriptors", 1024, gateway.LeastDescriptors, mostCount))
 	f.Cores = int(process.whole("cores", 1, 1, 256))
 	process.done()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,7 @@
 	"sorrelrudder/internal/message"
 	"sorrelrudder/internal/settings"
 	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/tally"
 	"sorrelrudder/internal/upstream"
 	"sorrelrudder/policy"
 )
@@ -46,6 +47,8 @@
 	Elsewhere func(context.Context, *Handover)
 	// Counts is told how requests end and of each attempt written whole; nil: nobody asks.
 	Counts *figures.Counts
+	// FiguresEvery is how often the log is told what the pool saw and did; 0: never.
+	FiguresEvery time.Duration
 }
 
 // Dialect is how the servers of a pool are spoken to, where that is not the platform's protocol.
@@ -88,6 +91,7 @@
 	longest  time.Duration
 	effects  map[string]policy.Effect // by class
 	keeps    map[string]time.Duration // how long repeats of it are dropped
+	aims     map[string]time.Duration // by class
 	tell     func(servers int)
 	serves   func() bool
 	dialect  Dialect
@@ -112,7 +116,8 @@
 	alarm     *time.Timer // fires when the first timer is due
 	alarmAt   policy.Time // zero: not set
 	after     []func(now policy.Time)
-	closed    bool // nothing more is to happen
+	closed    bool      // nothing more is to happen
+	tally     tally.Row // what happened since the log was told; counted whether it is or not
 }
 
 // request is one request of a client, from its last byte until all its attempts are back.
@@ -129,7 +134,8 @@
 	free     func()        // gives the room of body back
 	answer   chan message.Answer
 	event    policy.Request // as the module was told
-	foreign  bool           // handed over by another site: it goes no further
+	taken    policy.Time
+	foreign  bool // handed over by another site: it goes no further
 	attempts []*attempt
 	out      int
 	ended    bool
@@ -153,11 +159,11 @@
 		source: cfg.Source, balancer: b, requests: map[policy.RequestID]*request{}, tell: cfg.Ready, serves: cfg.Serves,
 		dialect: cfg.Dialect, away: cfg.Elsewhere, counts: cmp.Or(cfg.Counts, &figures.Counts{}),
 		peers: map[policy.ServerID]*upstream.Peer{}, entries: map[policy.ServerID]source.Entry{},
-		effects: map[string]policy.Effect{}, keeps: map[string]time.Duration{},
+		effects: map[string]policy.Effect{}, keeps: map[string]time.Duration{}, aims: map[string]time.Duration{},
 	}
 	p.service, _ = cfg.Dialect.(Service)
 	for _, c := range cfg.Settings.Config.Classes {
-		p.effects[c.Name], p.keeps[c.Name] = c.Effect, c.KeyTTL
+		p.effects[c.Name], p.keeps[c.Name], p.aims[c.Name] = c.Effect, c.KeyTTL, c.Aim
 		p.counts.Name(c.Name)
 		p.longest = max(p.longest, c.Deadline)
 	}
@@ -172,6 +178,9 @@
 		known = &source.List{Seq: new(int64)} // nothing is known: the source is to be asked all the same
 	}
 	p.work.Go(func() { up.Sweep(ctx) })
+	if cfg.FiguresEvery > 0 {
+		p.work.Go(func() { p.tellFigures(cfg.FiguresEvery) })
+	}
 	p.event(func(now policy.Time) { p.members(now, policy.ListCached, known) })
 	return p, nil
 }
@@ -256,7 +265,8 @@
 		q.Long = r.rest != nil
 		p.requests[r.id] = r
 		q.ID, q.Expires = r.id, now+timeout
-		r.event = q
+		r.event, r.taken = q, now
+		p.tally.Add(tally.Taken, 1)
 		if !served {
 			p.refuse(r, errNoServer.Answer())
 			return
@@ -278,6 +288,7 @@
 			return
 		}
 		open, r.ended = true, true
+		p.tally.Add(tally.Left, 1)
 		p.balancer.Withdrawn(now, r.id, p)
 		p.forget(r)
 	})
@@ -301,6 +312,7 @@
 	} else {
 		p.counts.Ended(r.event.Class, o)
 	}
+	p.tally.Add(p.endOf(r, o), 1)
 	r.answer <- a
 }
 
@@ -339,6 +351,9 @@
 	}
 	a.done, a.status = true, status
 	r.out--
+	if c, is := tallied[status]; is {
+		p.tally.Add(c, 1)
+	}
 	if status == policy.OK && !r.ended {
 		r.ended, taken = true, true
 		p.answer(r, ans, figures.Succeeded)
@@ -365,6 +380,13 @@
 	a.number, a.zone, a.cell = len(r.event.Prior)+len(r.attempts), e.Site, e.Block
 	r.attempts = append(r.attempts, a)
 	r.out++
+	p.tally.Add(tally.Sends, 1)
+	if a.number > 0 {
+		p.tally.Add(tally.Again, 1)
+	}
+	if p.warming(a.sent, server) {
+		p.tally.Add(tally.Cold, 1)
+	}
 	to, listed := p.peers[server]
 	if r.ended || !listed || timeout <= 0 {
 		p.after = append(p.after, func(now policy.Time) { p.settled(now, a, policy.Moot, nil, message.Answer{}) })
@@ -545,6 +567,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.stopWatch = cancel
 	since, from := p.seq, p.source
+	p.tally.Add(tally.Calls, 1)
 	p.spawn(func() {
 		err := from.Watch(ctx, since, func(l *source.List) {
 			kind := policy.ListDelta
@@ -563,6 +586,7 @@
 			}
 			cancel()
 			p.stopWatch = nil
+			p.tally.Add(tally.CallsFailed, 1)
 			p.log.Warn("watch on discovery ended", "err", err)
 			p.balancer.Members(now, policy.ListFailed, nil, p)
 		})
--- /dev/null
+++ b/internal/pool/tally.go
@@ -0,0 +1,71 @@
+package pool
+
+import (
+	"time"
+
+	"sorrelrudder/internal/figures"
+	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/tally"
+	"sorrelrudder/policy"
+)
+
+// tallied are the ends of attempts that are counted by kind.
+var tallied = map[policy.Status]tally.Count{
+	policy.ConnectFailed: tally.Unreached, policy.Timeout: tally.TimedOut, policy.AppError: tally.Erred,
+	policy.Full: tally.TurnedAway, policy.Reset: tally.Broken,
+}
+
+// endOf is as what the end of r counts. A long answer counts as its first bytes come.
+func (p *Pool) endOf(r *request, o figures.Outcome) tally.Count {
+	switch o {
+	case figures.Declined:
+		return tally.Refused
+	case figures.Succeeded:
+		if aim := p.aims[r.event.Class]; aim > 0 && p.now()-r.taken > aim {
+			return tally.Late
+		}
+		return tally.InAim
+	}
+	return tally.Failed
+}
+
+// warming reports whether a server started less than the ramp time ago.
+func (p *Pool) warming(now policy.Time, server policy.ServerID) bool {
+	to := p.peers[server]
+	return to != nil && to.Started() != 0 && now-to.Started() < p.settings.Config.Ramp
+}
+
+// tellFigures has the log told, until the pool ends, what the pool saw and did. A spell in which nothing happened is not told.
+func (p *Pool) tellFigures(every time.Duration) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	dialled := int64(0)
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		row := p.tally
+		p.tally = tally.Row{}
+		now := p.now()
+		seen := p.balancer.Seen(now)
+		row.Usual, row.Short, row.Avoided, row.Open = seen.Usual, seen.Short, seen.Avoided, len(p.requests)
+		for id, e := range p.entries {
+			if source.States[e.Health] == policy.Ready {
+				row.Listed++
+				if p.warming(now, id) {
+					row.Warming++
+				}
+			}
+		}
+		p.mu.Unlock()
+		d := p.up.Dialled()
+		row.Add(tally.Dials, int(d-dialled))
+		dialled = d
+		if !row.Empty() {
+			p.log.Info(tally.Message, row.Attrs()...)
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -9,6 +9,7 @@
 	"math"
 	"os"
 	"strconv"
+	"time"
 
 	"sorrelrudder/internal/gateway"
 	"sorrelrudder/internal/settings"
@@ -26,10 +27,11 @@
 	Sockets   int // descriptors that the process may hold
 	Known     *source.List
 	Settings  settings.Settings
-	Admin     string // address of the operators' door; empty: none
-	FD        int    // above 0: the descriptor of the listening socket, which the platform holds
-	beside    int    // other processes of this sidecar that are alive
-	Shared    string // the folder that it shares with the process whose place it takes, where the platform holds the socket
+	Admin     string        // address of the operators' door; empty: none
+	Figures   time.Duration // how often the log is told what it saw and did; 0: never
+	FD        int           // above 0: the descriptor of the listening socket, which the platform holds
+	beside    int           // other processes of this sidecar that are alive
+	Shared    string        // the folder that it shares with the process whose place it takes, where the platform holds the socket
 }
 
 // The limits taken where the configuration gives none.
@@ -99,6 +101,11 @@
 			return Config{}, fmt.Errorf("seed: %w", err)
 		}
 	}
+	if v := getenv("GW_FIGURES_EVERY"); v != "" {
+		if c.Figures, err = time.ParseDuration(v); err != nil || c.Figures < gateway.LeastFiguresEvery {
+			return Config{}, fmt.Errorf("GW_FIGURES_EVERY is %q, no time of %v or more", v, gateway.LeastFiguresEvery)
+		}
+	}
 	if v := getenv("GW_FD"); v != "" {
 		if c.FD, err = strconv.Atoi(v); err != nil || c.FD <= 2 {
 			return Config{}, fmt.Errorf("GW_FD is %q, not a descriptor above 2", v)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,7 +24,7 @@
 // gatewayConfig is cfg as the process takes it. Requests wait in the module for the platform's first list.
 func (c *Config) gatewayConfig() gateway.Config {
 	return gateway.Config{
-		Name: c.Name, MemoryMB: max(c.MemoryMB/c.processes(), gateway.LeastMemoryMB), Admin: c.Admin,
+		Name: c.Name, MemoryMB: max(c.MemoryMB/c.processes(), gateway.LeastMemoryMB), Admin: c.Admin, FiguresEvery: c.Figures,
 		Descriptors: max(c.Sockets/c.processes(), gateway.LeastDescriptors),
 		Listeners:   []gateway.Listener{{Name: c.Name, Address: c.Listen, FD: c.FD}},
 		Pools: []gateway.Pool{{
--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,58 @@
+package tally
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "sorrelrudder/internal/fixedseed"
+)
+
+// What is written is read back as it was, also with a prefix and with fields of a later version.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Row
+		for i := range r.N {
+			r.N[i] = rapid.IntRange(0, 1e6).Draw(t, names[i])
+		}
+		r.Listed, r.Warming, r.Avoided, r.Open = rapid.IntRange(0, 99).Draw(t, "listed"), rapid.IntRange(0, 99).Draw(t, "warming"), 3, 4
+		r.Usual = time.Duration(rapid.IntRange(0, 1e5).Draw(t, "usual")) * time.Millisecond
+		r.Short = float64(rapid.IntRange(0, 100).Draw(t, "short")) / 100
+		var out bytes.Buffer
+		slog.New(slog.NewTextHandler(&out, nil)).With("pool", "orders").Info(Message, append(r.Attrs(), "later", 7)...)
+		at, pool, got, ok := Parse("1.203 " + out.String())
+		if !ok || got != r || pool != "orders" || time.Since(at) > time.Hour {
+			t.Fatalf("%v %v %v\n%+v, want\n%+v", ok, pool, at, got, r)
+		}
+	})
+}
+
+func TestParseRefusesOthers(t *testing.T) {
+	for _, line := range []string{
+		"", "figures", "msg=figures taken=1", "time=2026-01-02T03:04:05Z msg=ready taken=1",
+		"time=2026-01-02T03:04:05Z msg=figures taken=many", "time=yesterday msg=figures taken=1",
+	} {
+		if _, _, _, ok := Parse(line); ok {
+			t.Errorf("%q is taken for figures", line)
+		}
+	}
+}
+
+func TestMergeWeighsByTaken(t *testing.T) {
+	a := Row{Usual: 100 * time.Millisecond, Listed: 2}
+	a.Add(Taken, 1)
+	b := Row{Usual: 200 * time.Millisecond, Short: 1, Listed: 3}
+	b.Add(Taken, 3)
+	a.Merge(b)
+	if a.N[Taken] != 4 || a.Listed != 5 || a.Usual != 175*time.Millisecond || a.Short != 0.75 {
+		t.Errorf("%+v", a)
+	}
+	var none Row
+	none.Merge(Row{})
+	if !none.Empty() || none.Usual != 0 {
+		t.Errorf("%+v", none)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	idleFor     time.Duration // how long a connection is kept idle
 	dial        func(ctx context.Context, addr string) (net.Conn, error)
 
+	dialled atomic.Int64 // connections opened or tried
+
 	mu    sync.Mutex
 	inUse map[*Peer]struct{} // those with idle connections
 }
@@ -126,6 +129,9 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// Dialled is how many connections have been opened, or tried.
+func (u *Conns) Dialled() int64 { return u.dialled.Load() }
+
 // DialWith makes dial what opens connections, before any is.
 func (u *Conns) DialWith(dial func(ctx context.Context, addr string) (net.Conn, error)) {
 	u.dial = dial
@@ -279,6 +285,7 @@
 		if err != nil {
 			return nil, NoDescriptor{Err: err}
 		}
+		u.dialled.Add(1)
 		nc, err := u.dial(ctx, p.addr)
 		if err != nil {
 			release()
--- a/policy/api.go
+++ b/policy/api.go
@@ -195,6 +195,13 @@
 	Fails      int
 }
 
+// Seen is how a Balancer sees its servers at one moment, for operators.
+type Seen struct {
+	Usual   time.Duration // the usual delay of answers
+	Short   float64       // how short of room its servers are: 0, there is room for all, to 1
+	Avoided int           // servers left out after failures
+}
+
 // ProbeResult is the end of one probe.
 type ProbeResult struct {
 	Server ServerID
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -354,7 +354,7 @@
 func (b *Balancer) place(now Time, r *request, set []*server, act Actions) {
 	hasRoom := func(s *server) bool { return s.idle() || now+b.feared(now, s, 1) <= r.useful }
 	b.room.note(now, slices.ContainsFunc(set, hasRoom))
-	if b.room.strict(now) < 1 {
+	if b.room.strict(now) < 1 || r.class.Worth/r.class.Aim.Seconds() >= b.topWorth/2 {
 		if free := slices.DeleteFunc(slices.Clone(set), func(s *server) bool { return b.full(now, r, s) }); len(free) > 0 {
 			set = free
 		}
@@ -533,6 +533,11 @@
 	return bad
 }
 
+// Seen tells how things look.
+func (b *Balancer) Seen(now Time) Seen {
+	return Seen{Usual: time.Duration(b.delay.delay), Short: b.room.strict(now), Avoided: b.Avoided(now)}
+}
+
 // coldTurn draws a place of the ready set, and returns the server there if it is cold, in proportion to
 // the least capacity it can have. An empty queue would make every probe round choose it; this way it
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
