Share slowness among servers of one kind of machine; cold ones teach only of themselves

Change: the list's kind of machine reaches the module; slowness starts from that of the kind and is its own after some answers; an attempt at a cold server teaches neither line nor kind; a cold server gets nothing that would be late there by its own figures.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -492,7 +492,7 @@
 		id := policy.ServerID(e.Host)
 		listed[id] = true
 		servers[i] = policy.Server{
-			ID: id, State: source.States[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Started: p.started(e.BornMs),
+			ID: id, State: source.States[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Kind: e.Class, Started: p.started(e.BornMs),
 		}
 		p.setPeer(id, servers[i], e)
 	}
--- a/internal/source/discovery.go
+++ b/internal/source/discovery.go
@@ -33,6 +33,7 @@
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
 	Block  int     `json:"block"`
+	Class  string  `json:"class"` // kind of machine
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMs int64   `json:"born_ms"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -81,6 +81,7 @@
 	Az           string  `json:"Az"`
 	Upstream     string  `json:"Upstream"`
 	UnitGroup    int     `json:"UnitGroup"`
+	GenerationHw string  `json:"GenerationHw"`
 }
 
 type reply struct {
@@ -263,7 +264,7 @@
 		}
 		lines[i] = policy.Server{
 			ID: policy.ServerID(l.Upstream), State: state, Zone: l.Az, Cell: l.UnitGroup,
-			Weight: l.CapacityHint, Started: settings.Micros(l.LastStartUs),
+			Weight: l.CapacityHint, Kind: l.GenerationHw, Started: settings.Micros(l.LastStartUs),
 		}
 	}
 	h.pages[e.Page] = lines
--- a/policy/api.go
+++ b/policy/api.go
@@ -110,7 +110,8 @@
 	Zone    string
 	Cell    int
 	Weight  float64
-	Started Time // zero: long ago
+	Kind    string // of machine, as the list names it; empty: not told
+	Started Time   // zero: long ago
 }
 
 // ListKind says how a list update is to be read.
@@ -190,6 +191,7 @@
 type LearntServer struct {
 	Started    Time // as the list tells it, on the clock of who asks
 	Slowness   float64
+	Answers    int // that tell it
 	Gap        float64
 	EjectedFor time.Duration // from now on; 0: it is not
 	Fails      int
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,6 +53,10 @@
 	// silentShare times the usual delay of answers without any word from a server, while something of this sidecar's is
 	// out there, make it silent.
 	silentShare = 3
+	// kindAnswers is how many answers of a server tell as much of it as those of all of its kind, and mostKinds how many
+	// kinds of machines are told apart: lists could name one for each server.
+	kindAnswers = 3
+	mostKinds   = 64
 	// smooth is the weight of a new sample in moving averages: about the last ten count.
 	smooth = 0.1
 )
@@ -80,6 +84,7 @@
 	copyWins  float64       // smoothed: share of second copies that answered first
 
 	delay delayModel // of answers by the reported queue
+	kinds map[string]*machines
 
 	room       roomModel // whether the set had room for the requests of late
 	topWorth   float64   // highest worth of a class for each second of its aim
@@ -95,7 +100,7 @@
 	}
 	b := &Balancer{
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		classes: map[string]*class{}, servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, kinds: map[string]*machines{},
 		threshold: math.Inf(1), credit: probeSample, busy: 1, every: tellsFor,
 	}
 	for _, c := range cfg.Classes {
@@ -416,10 +421,7 @@
 	}
 	r.ended = r.ended || o.Closed
 	if o.Status == OK || o.Status == Timeout && !own {
-		if at := b.delay.at(a.queue); at > 0 {
-			a.server.slowness += smooth * (min(float64(o.Delay)/at, 10) - a.server.slowness)
-		}
-		b.delay.learn(a.queue, float64(o.Delay)/a.server.slowness)
+		b.took(a, float64(o.Delay))
 	}
 	switch {
 	case r.ended:
@@ -430,6 +432,43 @@
 	}
 }
 
+// took learns from the delay of an attempt. A cold server tells of itself alone: where many are cold at once the line of all
+// would have warm ones taken for slow, and full, and refuse what they could serve.
+func (b *Balancer) took(a *attempt, delay float64) {
+	at := b.delay.at(a.queue)
+	if s := a.server; at > 0 {
+		ratio := min(delay/at, 10)
+		if k := b.kind(s); !a.cold {
+			k.slowness += smooth / 2 * (ratio - k.slowness)
+		}
+		s.answers++
+		s.slowness += max(smooth, 1/float64(s.answers)) * (ratio - s.slowness)
+	}
+	if !a.cold {
+		b.delay.learn(a.queue, delay/b.slowness(a.server))
+	}
+}
+
+// slowness is how much slower than expected the answers of s are: its own so far, and those of its kind of machine where
+// there are few. Without them a sidecar that meets most servers seldom would take each for an even one for as long as it is
+// there, and crowd the slow ones.
+func (b *Balancer) slowness(s *server) float64 {
+	n := min(float64(s.answers), 1/smooth)
+	return (n*s.slowness + kindAnswers*b.kind(s).slowness) / (n + kindAnswers)
+}
+
+// kind is that of s.
+func (b *Balancer) kind(s *server) *machines {
+	k := b.kinds[s.Kind]
+	if k == nil && len(b.kinds) < mostKinds {
+		k = &machines{slowness: 1}
+		b.kinds[s.Kind] = k
+	} else if k == nil {
+		k = &machines{slowness: 1}
+	}
+	return k
+}
+
 // copied notes whether, of two attempts that were out together, the second answered first. Such a copy pays for a further
 // one: where some servers swallow requests, copies go on for as long as they win, and where all are slow alike, so that
 // the first answers first, they stay within their share of the traffic.
@@ -495,7 +534,7 @@
 		Servers: map[ServerID]LearntServer{}, Patience: map[string]time.Duration{},
 	}
 	for id, s := range b.servers {
-		l.Servers[id] = LearntServer{s.Started, s.slowness, s.gap, max(0, s.ejected-now), s.fails}
+		l.Servers[id] = LearntServer{s.Started, s.slowness, s.answers, s.gap, max(0, s.ejected-now), s.fails}
 	}
 	for name, c := range b.classes {
 		if c.votes >= minVotes {
@@ -511,7 +550,7 @@
 	b.busy, b.copyWins = l.Busy, l.CopyWins
 	for id, t := range l.Servers {
 		if s := b.servers[id]; s != nil && s.Started == t.Started {
-			s.slowness, s.gap, s.fails = t.Slowness, t.Gap, t.Fails
+			s.slowness, s.answers, s.gap, s.fails = t.Slowness, t.Answers, t.Gap, t.Fails
 			if t.EjectedFor > 0 {
 				s.ejected = now + t.EjectedFor
 			}
@@ -565,11 +604,11 @@
 	if s == nil {
 		return len(r.attempts) == 0 && len(b.ready) == 0 // hold until the list names a server
 	}
-	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) {
+	if c := b.coldTurn(now); c != nil && len(r.attempts) == 0 && b.maySend(now, r, c) && !b.late(now, r, c) {
 		s = c
 	}
 	s.marked = false
-	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s), expected: b.expected(now, s)}
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sent: now, out: true, queue: b.standing(s), expected: b.expected(now, s), cold: b.warmth(now, s) < 1}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	s.ask(now)
@@ -708,7 +747,7 @@
 // slower than it s has been, and at least what its own pace tells. The line is learnt of all servers alike, and goes flat
 // where the quick ones are given more and so hold more; the pace guards against heaping requests on one of them then.
 func (b *Balancer) expected(now Time, s *server) time.Duration {
-	line := min(b.delay.at(b.standing(s))*s.slowness, float64(time.Hour))
+	line := min(b.delay.at(b.standing(s))*b.slowness(s), float64(time.Hour))
 	return max(time.Duration(line), s.turn(now))
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -642,3 +642,80 @@
 		t.Errorf("of %d each, served %v", each, served)
 	}
 }
+
+// answer has b send a request, and server answer it after delay.
+func answer(b *Balancer, rec *recorder, now Time, id RequestID, server ServerID, delay time.Duration) {
+	s := b.servers[server]
+	r := &request{Request: Request{ID: id, Class: "safe", Expires: now + time.Second}, class: b.classes["safe"], end: now + time.Second, useful: now + time.Second}
+	r.attempts = []attempt{{server: s, sent: now, out: true, queue: 0, cold: b.warmth(now, s) < 1}}
+	r.out = 1
+	s.out++
+	b.requests[id] = r
+	b.Outcome(now+delay, Outcome{ID: id, Server: server, Delay: delay, Closed: true}, rec)
+}
+
+// What the answers of some machines tell is taken for all of their kind until those have answered themselves. Seen to fail with
+// each server on its own: one that is new counted as an even one, as in a sidecar that meets each seldom it is for long.
+func TestSlownessIsSharedByKind(t *testing.T) {
+	b, rec := start(t, testConfig(), 0)
+	var list []Server
+	for i := range 12 {
+		list = append(list, Server{ID: ServerID(fmt.Sprint("s", i)), Kind: []string{"quick", "slow"}[i%2]})
+	}
+	b.Members(0, ListFull, list[:10], rec)
+	now := Time(time.Hour)
+	for i := range 300 {
+		now += 50 * time.Millisecond
+		answer(b, rec, now, RequestID(i+1), ServerID(fmt.Sprint("s", i%10)), time.Duration(40+120*(i%2))*time.Millisecond)
+	}
+	b.Members(now, ListFull, list, rec) // s10 and s11 are new
+	quick, slow := b.expected(now, b.servers["s10"]), b.expected(now, b.servers["s11"])
+	if slow < 2*quick {
+		t.Errorf("a new server of the slow kind is expected to take %v, one of the quick kind %v", slow, quick)
+	}
+	for i := range 30 { // an odd one of its kind
+		now += 50 * time.Millisecond
+		answer(b, rec, now, RequestID(1000+i), "s11", 40*time.Millisecond)
+	}
+	if own := b.expected(now, b.servers["s11"]); own > slow*2/3 {
+		t.Errorf("after 30 answers of its own it is still expected to take %v of %v", own, slow)
+	}
+}
+
+// Cold servers tell of themselves alone. Seen to fail with one line for all: with many cold at once warm ones are taken for slow.
+func TestColdServersTeachOfThemselvesAlone(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	now := Time(time.Hour)
+	id := RequestID(0)
+	for range 50 {
+		now += 50 * time.Millisecond
+		id++
+		answer(b, rec, now, id, "s0", 40*time.Millisecond)
+	}
+	before := b.expected(now, b.servers["s1"])
+	b.Members(now, ListDelta, []Server{{ID: "s9", Started: now}}, rec)
+	for range 50 {
+		now += 50 * time.Millisecond
+		id++
+		answer(b, rec, now, id, "s9", 400*time.Millisecond)
+	}
+	if after := b.expected(now, b.servers["s1"]); after > before*11/10 {
+		t.Errorf("answers of a cold server make a warm one expected to take %v instead of %v", after, before)
+	}
+	if cold := b.expected(now, b.servers["s9"]); cold < 4*before {
+		t.Errorf("the cold one is expected to take %v", cold)
+	}
+}
+
+// A list that names a kind for each server must not be remembered for ever.
+func TestKindsAreBounded(t *testing.T) {
+	b, rec := start(t, testConfig(), 0)
+	for i := range 10 * mostKinds {
+		id := ServerID(fmt.Sprint("s", i))
+		b.Members(0, ListFull, []Server{{ID: id, Kind: string(id)}}, rec)
+		answer(b, rec, time.Hour, RequestID(i+1), id, time.Millisecond)
+	}
+	if len(b.kinds) > mostKinds {
+		t.Errorf("%d kinds are kept", len(b.kinds))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,12 +102,16 @@
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
+	answers  int     // that tell it
 	gap      float64 // smoothed: time from one answer to own attempts to the next, while some are out
 	turnFrom Time    // of the last answer
 	overtook Time    // when the latest attempt was sent that it has answered
 	ejected  Time
 }
 
+// machines is what servers of one kind have in common.
+type machines struct{ slowness float64 }
+
 // idle reports whether nothing waits at s as far as this sidecar can tell: by the latest report, and by its own requests
 // that are out there. The report alone would have a sidecar with much traffic heap requests on a server until the next
 // one, and under overload fill it with what comes late. Where all are slow at little traffic it still tells idle, since
@@ -243,6 +247,7 @@
 	expected time.Duration // its delay, then
 	out      bool          // no outcome yet
 	notRun   bool          // proven never to have run
+	cold     bool          // its server was
 }
 
 // ownFault reports whether the time-out of a tells nothing of its server: the client waited less than an answer that is
