--- a/policy/policy.go
+++ b/policy/policy.go
@@ -365,7 +365,7 @@
 func (b *Balancer) place(now Time, r *request, set []*server, act Actions) {
 	hasRoom := func(s *server) bool { return s.idle() || now+b.feared(now, s, 1) <= r.useful }
 	b.room.note(now, slices.ContainsFunc(set, hasRoom))
-	if b.room.strict(now) < 1 || r.class.Worth/r.class.Aim.Seconds() > b.topWorth/2 {
+	if b.room.strict(now) < 1 || b.room.seenEnough() || r.class.Worth/r.class.Aim.Seconds() > b.topWorth/2 {
 		if free := slices.DeleteFunc(slices.Clone(set), func(s *server) bool { return b.full(now, r, s) }); len(free) > 0 {
 			set = free
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -211,6 +211,7 @@
 const (
 	roomMemory = 500 * time.Millisecond
 	roomPrior  = 10
+	roomTells  = 3
 	// Refusals by worth are off up to a part of roomEnough that found no room, and fully on from roomShort.
 	roomEnough = 0.15
 	roomShort  = 0.4
@@ -230,6 +231,12 @@
 	}
 }
 
+// seenEnough reports whether enough was seen of late to tell that there is room, and it was. Unlike strict it takes nothing for
+// granted: a sidecar with some requests a second never sees as many as roomPrior within roomMemory.
+func (m *roomModel) seenEnough() bool {
+	return m.seen >= roomTells && m.seen-m.had <= roomEnough*m.seen
+}
+
 // strict is how far what is worth least is to give way: from 0, there is room for all, to 1, there is a shortage.
 func (m *roomModel) strict(now Time) float64 {
 	m.fade(now)
