Emulate a fleet in virtual time; spare slow kinds where no warm server is to be had

Change: internal/emulator plays many instances of the module, driven through its own interface, before one set of servers (kinds, queues, cold starts that fall over, silence, fast failure, drains, bounds on connections), clients that come again, and a list that is late and overbooked; an observer with books of its own holds the four rules, and a test shows that it sees each broken. Fleet tests: 80 instances started within 100 ms before a discovery that takes a tenth of their calls a second; a zone of 30 that falls silent and comes back cold under old and new names; six in ten of 60 replaced in 7 s; servers that fail fast, met seldom; all cold; few connections. The same seed gives the same run.

Found by it, rule 4: with all servers cold, set falls back to them and thin (policy.go) gave each kind the same part, so that 80 sidecars pushed two of the smallest over (all cold, 900 requests a second). A slow kind's part is now divided by its slowness there.

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -99,7 +99,7 @@
 	for _, command := range []string{"cairnpick", "adapter"} {
 		for _, p := range needs(t, command) {
 			for _, heavy := range []string{
-				"github.com/", "google.golang.org/", "go.uber.org/", "pgregory.net/", "sorrelrudder/internal/lab", "sorrelrudder/internal/opfile",
+				"github.com/", "google.golang.org/", "go.uber.org/", "pgregory.net/", "sorrelrudder/internal/lab", "sorrelrudder/internal/emulator", "sorrelrudder/internal/opfile",
 				"sorrelrudder/internal/standin", "sorrelrudder/internal/plain", "sorrelrudder/internal/classify", "sorrelrudder/internal/h2", "sorrelrudder/internal/tlsfiles", "golang.org/x/net/", "sorrelrudder/internal/hop", "sorrelrudder/internal/bridge",
 			} {
 				if strings.HasPrefix(p, heavy) {
@@ -130,6 +130,7 @@
 	"internal/plain":     {"policy", "internal/classify", "internal/message", "internal/pool", "internal/upstream"},
 	"internal/figures":   {},
 	"internal/tally":     {},
+	"internal/emulator":  {"policy"},
 	"internal/fixedseed": {},
 	"internal/admin":     {"internal/figures"},
 	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
@@ -156,7 +157,7 @@
 }
 
 // pure modules read no clock, open nothing and start nothing.
-var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally"}
+var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally", "internal/emulator"}
 
 // TestImports holds the rules of docs/ARCHITECTURE.md.
 func TestImports(t *testing.T) {
--- /dev/null
+++ b/internal/emulator/fleet_test.go
@@ -0,0 +1,229 @@
+package emulator
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"sorrelrudder/policy"
+)
+
+const ms = time.Millisecond
+
+// fleet is a day of 80 instances before 60 servers at some six tenths of what these can do.
+func fleet() Day {
+	return Day{
+		Seed: 1, Length: 20 * time.Second, Instances: 80, Servers: 60, Start: 100 * ms,
+		Kinds: []Kind{{"big", 0.36, 3, 2}, {"small", 0.35, 2, 1.2}, {"slow", 0.29, 3, 0.8}},
+		Zones: []string{"a", "b"}, Near: ms / 2, Far: 7 * ms, Room: 300, MostConns: 400, Handshake: 2 * ms, ReportLag: 150 * ms,
+		ColdFrom: 0.35, ColdFor: 8 * time.Second, Tip: 2.5, TipFor: time.Second,
+		Classes: []Class{
+			{policy.Class{Name: "check", Aim: 450 * ms, Deadline: 2200 * ms, Worth: 2, LateShare: 0.2}, 0.47, 90 * ms, 1},
+			{policy.Class{Name: "order", Effect: policy.Keyed, KeyTTL: 1500 * ms, Aim: 450 * ms, Deadline: 1840 * ms, Worth: 10, LateShare: 0.5}, 0.34, 75 * ms, 1},
+			{policy.Class{Name: "booking", Effect: policy.Keyed, Group: policy.GroupCell, KeyTTL: 12 * time.Second, Aim: 890 * ms, Deadline: 1840 * ms, Worth: 3, LateShare: 0.3}, 0.19, 140 * ms, 1},
+		},
+		Clients:   Clients{Rate: 1300, Spread: 1, Retries: 3, Pause: 20 * ms, TryShare: 0.5, Heed: true},
+		Discovery: Discovery{Calls: 60, Patience: 2 * time.Second, Notice: 1500 * ms},
+		Module: policy.Config{
+			MayProbe: true, MayCancel: true, MayDuplicate: true, HintsRetry: true, MaxAttempts: 3, MaxRetryAfter: 1500 * ms, DialTimeout: 250 * ms,
+			ConnIdle: 5 * time.Second, Tick: ms, AskEvery: 10 * time.Second, AnswerGrace: 5 * ms,
+			ProbeTariff: 0.08, HandshakeTariff: 0.08, CrossZoneTariff: 0.03,
+		},
+	}
+}
+
+func play(t *testing.T, day Day) *Result {
+	t.Helper()
+	w, err := New(day)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := w.Run()
+	for _, b := range r.Broken {
+		t.Error(b)
+	}
+	if r.Breaks > 0 {
+		t.Errorf("%d breaches in all", r.Breaks)
+	}
+	if testing.Verbose() {
+		for i, s := range r.Seconds {
+			t.Logf("%2d share %.2f %+v", i, s.Share(), s)
+		}
+	}
+	return r
+}
+
+func TestCalmFleet(t *testing.T) {
+	r := play(t, fleet())
+	if s := r.Span(2, 20); s.Share() < 0.93 || s.Probes > s.Tries {
+		t.Errorf("share %.3f, %+v", s.Share(), s)
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	day := fleet()
+	day.Length = 6 * time.Second
+	day.Steps = []Step{{2 * time.Second, func(w *World) { w.Restart(func(o int) bool { return o%3 > 0 }, 500*ms) }}}
+	a, b := play(t, day), play(t, day)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("one seed gave two runs")
+	}
+	day.Seed++
+	if c := play(t, day); reflect.DeepEqual(a, c) {
+		t.Error("two seeds gave one run")
+	}
+}
+
+// 80 instances start within 100 ms with an old list, before a discovery that takes a tenth of their calls a second.
+func TestMassStartIsToldInTheEnd(t *testing.T) {
+	day := fleet()
+	day.Discovery.Calls = 8
+	day.Length = 30 * time.Second
+	day.Steps = []Step{{50 * ms, func(w *World) {
+		for i := range 10 { // the list that they start with is old
+			w.Replace(6*i, 500*ms)
+		}
+	}}}
+	r := play(t, day)
+	calls, lost := r.Total.Calls, r.Total.CallsLost
+	if calls > 4*day.Instances {
+		t.Errorf("%d calls for %d instances, %d lost", calls, day.Instances, lost)
+	}
+	for i, s := range r.Seconds {
+		if s.Calls > 4*int(day.Discovery.Calls) {
+			t.Errorf("%d calls in second %d, of %g that can be taken", s.Calls, i, day.Discovery.Calls)
+		}
+	}
+	if s := r.Span(20, 30); s.Share() < 0.9 {
+		t.Errorf("share %.3f once all are told", s.Share())
+	}
+	w, _ := New(day)
+	w.Run()
+	for _, in := range w.instances {
+		if in.watcher == nil || in.watcher.off || len(in.known) != day.Servers {
+			t.Errorf("instance %d knows %d servers of %d by its watch", in.ordinal, len(in.known), day.Servers)
+		}
+	}
+}
+
+// A zone of 30 servers falls silent with requests out, and comes back cold at once under old and new names.
+func TestZoneLostAndBackCold(t *testing.T) {
+	day := fleet()
+	day.Steps = []Step{
+		{5 * time.Second, func(w *World) { w.Silence(func(_ int, zone string) bool { return zone == "b" }) }},
+		{9 * time.Second, func(w *World) { w.Return() }},
+	}
+	r := play(t, day)
+	if s := r.Span(6, 9); s.Share() < 0.55 {
+		t.Errorf("share %.3f while half of the servers are silent", s.Share())
+	}
+	if s := r.Span(17, 20); s.Share() < 0.9 {
+		t.Errorf("share %.3f once they are back", s.Share())
+	}
+	if s := r.Span(7, 9); s.Unreached > s.Sends/5 {
+		t.Errorf("%d of %d sends reach nobody two seconds after the loss", s.Unreached, s.Sends)
+	}
+}
+
+// Six in ten of 60 servers are replaced within 7 s, and the list is late.
+func TestMostReplaced(t *testing.T) {
+	day := fleet()
+	for i := range 36 {
+		place := i * 5 / 3
+		day.Steps = append(day.Steps, Step{4*time.Second + time.Duration(i)*190*ms, func(w *World) { w.Replace(place, 3*time.Second) }})
+	}
+	r := play(t, day)
+	if s := r.Span(4, 12); s.Share() < 0.7 || s.Cold == 0 {
+		t.Errorf("share %.3f while most are replaced, %d sends to cold ones", s.Share(), s.Cold)
+	}
+	if s := r.Span(18, 20); s.Share() < 0.93 {
+		t.Errorf("share %.3f afterwards", s.Share())
+	}
+}
+
+// A server that fails at once is met once in several seconds by each instance. It must not draw more than its part.
+func TestFastFailureMetSeldom(t *testing.T) {
+	day := fleet()
+	day.Clients.Rate = 60
+	day.Steps = []Step{{0, func(w *World) { w.Fail(7, 1); w.Fail(22, 1) }}}
+	r := play(t, day)
+	if s := r.Span(2, 20); s.Erred > s.Sends*2/60 || s.Share() < 0.95 {
+		t.Errorf("%d of %d sends ended as errors at two of 60 servers, share %.3f", s.Erred, s.Sends, s.Share())
+	}
+}
+
+// All servers start cold at once.
+func TestAllCold(t *testing.T) {
+	day := fleet()
+	day.Clients.Rate = 900
+	day.Steps = []Step{{3 * time.Second, func(w *World) { w.Chill() }}}
+	r := play(t, day)
+	if s := r.Span(5, 8); s.Share() < 0.4 || s.Cold == 0 {
+		t.Errorf("share %.3f while all are cold", s.Share())
+	}
+	if s := r.Span(16, 20); s.Share() < 0.93 {
+		t.Errorf("share %.3f once they are warm", s.Share())
+	}
+}
+
+// A server at its bound of connections turns dials away: nothing has run, and what was out goes elsewhere.
+func TestFewConnections(t *testing.T) {
+	day := fleet()
+	day.MostConns = 8
+	r := play(t, day)
+	if s := r.Span(2, 20); s.Share() < 0.8 || s.Unreached == 0 {
+		t.Errorf("share %.3f, %d of %d sends reach nobody", s.Share(), s.Unreached, s.Sends)
+	}
+}
+
+// The rules are seen to break: the observer is no part of what it watches.
+func TestObserverSees(t *testing.T) {
+	w, err := New(fleet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := w.instances[0]
+	in.start()
+	mk := func(class int) *try {
+		c := &w.day.Classes[class]
+		in.lastID++
+		tr := &try{root: &root{class: c, in: in}, in: in, id: in.lastID, class: c.Class, expires: w.now + time.Second}
+		in.tries[tr.id] = tr
+		w.watch.taken(tr)
+		return tr
+	}
+	send := func(tr *try, s *server) *attempt {
+		a := &attempt{try: tr, s: s, sent: w.now}
+		w.watch.sends(a, policy.ServerID(s.id))
+		tr.attempts = append(tr.attempts, a)
+		return a
+	}
+	for name, do := range map[string]func(){
+		"2 answers":     func() { tr := mk(0); w.watch.answered(tr, refused); w.watch.answered(tr, refused) },
+		"sent after":    func() { tr := mk(0); w.watch.answered(tr, refused); send(tr, w.servers[0]) },
+		"another group": func() { tr := mk(2); w.watch.runs(send(tr, w.servers[0])); send(tr, w.servers[1]) },
+		"refused though": func() {
+			tr := mk(2)
+			send(tr, w.servers[0])
+			w.watch.answered(tr, refused)
+		},
+		"take nothing": func() {
+			w.watch.told(in, policy.ListDelta, []policy.Server{{ID: "s005", State: policy.Draining}})
+			w.now += 2100 * ms
+			send(mk(0), w.servers[5])
+		},
+		"too late": func() { tr := mk(0); w.now += 1100 * ms; w.watch.answered(tr, failed) },
+		"pushed over": func() {
+			s := w.join("new", 3)
+			for range 200 {
+				s.push(w, 100*ms)
+			}
+		},
+	} {
+		before := w.Result.Breaks
+		do()
+		if w.Result.Breaks == before {
+			t.Errorf("%s: not seen", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/instance.go
@@ -0,0 +1,432 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sorrelrudder/policy"
+)
+
+// instance is a sidecar: a host of the module.
+type instance struct {
+	w       *World
+	ordinal int
+	zone    string
+	b       *policy.Balancer
+	seed    uint64
+	tries   map[policy.RequestID]*try
+	lastID  policy.RequestID
+	up      bool
+	known   map[policy.ServerID]*server // by the list that it was told
+	idle    map[*server]int             // connections on which nothing is asked
+	watcher *watcher
+	rng     *rand.Rand
+	after   []func()
+	inside  bool
+}
+
+// try is a request as an instance has it.
+type try struct {
+	root     *root
+	in       *instance
+	id       policy.RequestID
+	class    policy.Class
+	expires  policy.Time
+	attempts []*attempt
+	ended    bool
+	told     bool // the client has its answer, or is gone
+}
+
+// attempt is one send of a try.
+type attempt struct {
+	try    *try
+	number int
+	s      *server
+	sent   policy.Time
+	done   bool
+	ran    bool
+	begun  bool // its last byte is with the server
+}
+
+func newInstance(w *World, ordinal int) (*instance, error) {
+	in := &instance{
+		w: w, ordinal: ordinal, zone: w.day.Zones[ordinal%len(w.day.Zones)], seed: w.day.Seed<<16 + uint64(ordinal),
+		rng: rand.New(rand.NewPCG(w.day.Seed, uint64(ordinal)+2)),
+	}
+	return in, in.renew()
+}
+
+// renew makes a module that knows nothing.
+func (in *instance) renew() error {
+	cfg := in.w.day.Module
+	cfg.Ordinal, cfg.GroupSize, cfg.Zone = in.ordinal, in.w.day.Instances, in.zone
+	cfg.ColdFrom, cfg.Ramp = in.w.day.ColdFrom, in.w.day.ColdFor
+	cfg.Classes = nil
+	for _, c := range in.w.day.Classes {
+		cfg.Classes = append(cfg.Classes, c.Class)
+	}
+	in.seed++
+	b, err := policy.New(cfg, in.seed)
+	in.b, in.tries, in.known, in.idle, in.watcher = b, map[policy.RequestID]*try{}, map[policy.ServerID]*server{}, map[*server]int{}, nil
+	return err
+}
+
+// do hands the module one event, and those that its actions gave rise to.
+func (in *instance) do(f func(now policy.Time)) {
+	if !in.up {
+		return
+	}
+	if in.inside {
+		in.after = append(in.after, func() { f(in.w.now) })
+		return
+	}
+	in.inside = true
+	f(in.w.now)
+	for len(in.after) > 0 {
+		next := in.after
+		in.after = nil
+		for _, g := range next {
+			g()
+		}
+	}
+	in.inside = false
+}
+
+// start starts the process with the list as it was at the day's start, which may be old.
+func (in *instance) start() {
+	in.up = true
+	old := in.w.list.changes
+	var known []policy.Server
+	for _, c := range old {
+		if c.seq == 0 {
+			known = append(known, c.entry)
+		}
+	}
+	in.told(policy.ListCached, known)
+}
+
+// Restart kills the instances that match and starts them anew after down; clients of one that is down are told nothing and try
+// again.
+func (w *World) Restart(match func(ordinal int) bool, down time.Duration) {
+	for _, in := range w.instances {
+		if !match(in.ordinal) || !in.up {
+			continue
+		}
+		in.up = false
+		if in.watcher != nil {
+			in.watcher.off = true
+		}
+		for s, n := range in.idle {
+			s.conns -= n
+		}
+		var open []*try
+		for id := policy.RequestID(1); id <= in.lastID; id++ {
+			if t := in.tries[id]; t != nil {
+				open = append(open, t)
+			}
+		}
+		for _, t := range open {
+			for _, a := range t.attempts {
+				if !a.done {
+					a.done = true
+					a.s.conns--
+				}
+			}
+			if !t.told {
+				t.told, t.ended = true, true
+				w.watch.forget(t)
+				t.root.ended(w, givenUp, 0)
+			}
+		}
+		if err := in.renew(); err != nil {
+			panic(err) // the same configuration was taken at the start
+		}
+		w.after(down, in.start)
+	}
+}
+
+// told takes a message about the list.
+func (in *instance) told(kind policy.ListKind, entries []policy.Server) {
+	in.do(func(now policy.Time) {
+		in.w.watch.told(in, kind, entries)
+		if kind != policy.ListDelta {
+			clear(in.known)
+		}
+		for _, e := range entries {
+			var at *server
+			for _, s := range in.w.servers {
+				if policy.ServerID(s.id) == e.ID && (at == nil || !s.gone) {
+					at = s
+				}
+			}
+			if e.State == policy.Gone {
+				delete(in.known, e.ID)
+			} else {
+				in.known[e.ID] = at
+			}
+		}
+		in.b.Members(now, kind, entries, in)
+	})
+}
+
+// lost takes the end of a call or of a watch.
+func (in *instance) lost() {
+	in.do(func(now policy.Time) {
+		in.watcher = nil
+		in.b.Members(now, policy.ListFailed, nil, in)
+	})
+}
+
+// take takes a request whose client waits so long.
+func (in *instance) take(q *root, wait time.Duration) {
+	if !in.up {
+		in.w.after(in.w.day.Near, func() { q.ended(in.w, givenUp, 0) })
+		return
+	}
+	in.lastID++
+	t := &try{root: q, in: in, id: in.lastID, class: q.class.Class, expires: in.w.now + wait}
+	in.tries[t.id] = t
+	in.w.watch.taken(t)
+	in.w.after(wait, func() {
+		if !t.told { // the client has left
+			t.told = true
+			q.ended(in.w, givenUp, 0)
+			in.w.watch.expired(t)
+		}
+	})
+	in.do(func(now policy.Time) {
+		in.b.Request(now, policy.Request{ID: t.id, Class: q.class.Name, Expires: t.expires, Cost: q.work}, in)
+	})
+}
+
+func (in *instance) forget(t *try) {
+	if !t.ended {
+		return
+	}
+	for _, a := range t.attempts {
+		if !a.done {
+			return
+		}
+	}
+	delete(in.tries, t.id)
+}
+
+// end gives the client the final answer.
+func (t *try) end(how int, retryAfter time.Duration) {
+	t.ended = true
+	t.in.w.watch.answered(t, how)
+	switch how {
+	case refused:
+		t.in.w.second().Refused++
+	case failed:
+		t.in.w.second().Failed++
+	}
+	if !t.told {
+		t.told = true
+		t.root.ended(t.in.w, how, retryAfter)
+	}
+}
+
+// way is the time one way between the instance and a server.
+func (in *instance) way(s *server) time.Duration {
+	if s.zone == in.zone {
+		return in.w.day.Near
+	}
+	return in.w.day.Far
+}
+
+// connect calls then once there is a connection to s, with whether there is.
+func (in *instance) connect(s *server, then func(up bool)) {
+	w := in.w
+	if in.idle[s] > 0 && !s.gone {
+		in.idle[s]--
+		w.after(0, func() { then(true) })
+		return
+	}
+	w.second().Dials++
+	switch way := in.way(s); {
+	case s.silent || s.fallen:
+		w.after(w.day.Module.DialTimeout, func() { then(false) })
+	case s.gone, w.day.MostConns > 0 && s.conns >= w.day.MostConns:
+		w.after(2*way, func() { then(false) })
+	default:
+		s.conns++
+		w.after(2*way+w.day.Handshake, func() { then(true) })
+	}
+}
+
+// settle tells the module the end of an attempt.
+func (in *instance) settle(a *attempt, st policy.Status) {
+	if a.done {
+		return
+	}
+	a.done = true
+	switch st {
+	case policy.ConnectFailed:
+		in.w.second().Unreached++
+	case policy.Timeout:
+		in.w.second().TimedOut++
+	case policy.AppError:
+		in.w.second().Erred++
+	case policy.Full:
+		in.w.second().Full++
+	}
+	if st != policy.ConnectFailed || a.begun {
+		if st == policy.OK || st == policy.AppError || st == policy.Full {
+			in.idle[a.s]++
+		} else {
+			a.s.conns--
+		}
+	}
+	in.do(func(now policy.Time) {
+		t := a.try
+		if st == policy.OK && !t.ended {
+			t.end(served, 0)
+		}
+		in.w.watch.outcome(a, st)
+		in.b.Outcome(now, policy.Outcome{ID: t.id, Attempt: a.number, Server: policy.ServerID(a.s.id), Status: st, Delay: now - a.sent, Closed: t.ended}, in)
+		in.forget(t)
+	})
+}
+
+// back brings the answer to an attempt.
+func (a *attempt) back(w *World, st policy.Status) {
+	in := a.try.in
+	w.after(in.way(a.s), func() { in.settle(a, st) })
+}
+
+// reset breaks what the instance has with a server whose process has ended.
+func (in *instance) reset(s *server) {
+	delete(in.idle, s)
+	for id := policy.RequestID(1); id <= in.lastID; id++ {
+		if t := in.tries[id]; t != nil {
+			for _, a := range t.attempts {
+				if a.s == s && !a.done && a.begun {
+					in.w.after(in.way(s), func() { in.settle(a, policy.Reset) })
+				}
+			}
+		}
+	}
+}
+
+// The methods of policy.Actions.
+
+func (in *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	t, s := in.tries[id], in.known[to]
+	if t == nil {
+		in.w.watch.breach("1: %d sent something of a request that it has not", in.ordinal)
+		return
+	}
+	a := &attempt{try: t, number: len(t.attempts), s: s, sent: in.w.now}
+	in.w.watch.sends(a, to)
+	t.attempts = append(t.attempts, a)
+	sec := in.w.second()
+	sec.Sends++
+	if a.number > 0 {
+		sec.Again++
+	}
+	if s == nil {
+		a.done = true
+		in.after = append(in.after, func() {
+			in.b.Outcome(in.w.now, policy.Outcome{ID: id, Attempt: a.number, Server: to, Status: policy.Moot, Closed: t.ended}, in)
+			in.forget(t)
+		})
+		return
+	}
+	if s.warmth(in.w) < 1 {
+		sec.Cold++
+	}
+	in.w.after(timeout, func() { in.settle(a, policy.Timeout) })
+	in.connect(s, func(up bool) {
+		switch {
+		case !up:
+			in.settle(a, policy.ConnectFailed)
+		case a.done: // given up meanwhile
+			in.idle[s]++
+		default:
+			a.begun = true
+			in.w.after(in.way(s), func() { s.comes(in.w, a) })
+		}
+	})
+}
+
+func (in *instance) Refuse(id policy.RequestID, retryAfter time.Duration) {
+	if t := in.tries[id]; t != nil {
+		t.end(refused, retryAfter)
+		in.after = append(in.after, func() { in.forget(t) })
+	}
+}
+
+func (in *instance) Fail(id policy.RequestID) {
+	if t := in.tries[id]; t != nil {
+		t.end(failed, 0)
+		in.after = append(in.after, func() { in.forget(t) })
+	}
+}
+
+func (in *instance) Cancel(id policy.RequestID, n int) {
+	if t := in.tries[id]; t != nil && n < len(t.attempts) {
+		a := t.attempts[n]
+		in.after = append(in.after, func() { in.settle(a, policy.Canceled) })
+	}
+}
+
+func (in *instance) SetTimer(after time.Duration, token string) {
+	b := in.b
+	in.w.after(after, func() {
+		if in.b == b { // else the process that asked for it has ended
+			in.do(func(now policy.Time) { b.Timer(now, token, in) })
+		}
+	})
+}
+
+func (in *instance) Probe(to policy.ServerID) {
+	s := in.known[to]
+	in.w.second().Probes++
+	b := in.b
+	answer := func(st policy.Status, l *policy.Load) {
+		if in.b == b {
+			in.do(func(now policy.Time) { in.b.Probed(now, policy.ProbeResult{Server: to, Status: st, Load: l}, in) })
+		}
+	}
+	if s == nil {
+		in.after = append(in.after, func() { answer(policy.Moot, nil) })
+		return
+	}
+	in.connect(s, func(up bool) {
+		if !up {
+			answer(policy.ConnectFailed, nil)
+			return
+		}
+		in.w.after(in.way(s), func() {
+			if s.dead() {
+				in.w.after(400*time.Millisecond, func() { s.conns--; answer(policy.Timeout, nil) })
+				return
+			}
+			queue := s.reported(in.w)
+			in.w.after(in.way(s), func() {
+				in.idle[s]++
+				answer(policy.OK, &policy.Load{Queue: queue, Inflight: -1, Latency: -1, ErrorRate: -1})
+			})
+		})
+	})
+}
+
+func (in *instance) HangUp(to policy.ServerID) {
+	if s := in.known[to]; s != nil {
+		s.conns -= in.idle[s]
+		delete(in.idle, s)
+	}
+}
+
+func (in *instance) Watch(on bool) {
+	if in.watcher != nil {
+		in.watcher.off = true
+		in.watcher = nil
+	}
+	if on {
+		in.watcher = in.w.list.call(in)
+	}
+}
+
+func (in *instance) Log(string) {}
--- /dev/null
+++ b/internal/emulator/server.go
@@ -0,0 +1,326 @@
+package emulator
+
+import (
+	"time"
+
+	"sorrelrudder/policy"
+)
+
+// server is one process of a server.
+type server struct {
+	id       string
+	addr     int
+	kind     Kind
+	zone     string
+	cell     int
+	started  policy.Time // 0: long ago
+	draining bool
+	gone     bool    // its process has ended: connections are refused
+	silent   bool    // nothing comes back, and nothing comes up
+	fails    float64 // share of requests that it answers with an error at once
+	fallen   bool    // pushed over while it was cold
+
+	busy    int
+	waiting []*job
+	conns   int
+	late    []report // of its queue, the latest last
+	pushed  []work   // sent to it of late, while cold
+}
+
+type job struct {
+	a    *attempt
+	work time.Duration
+}
+
+type report struct {
+	at    policy.Time
+	queue int
+}
+
+type work struct {
+	at policy.Time
+	of time.Duration
+}
+
+func (w *World) newServer(id string, place int, started policy.Time) *server {
+	x := (float64(place) + 0.5) / float64(max(w.day.Servers, 1))
+	x -= float64(int(x))
+	kind := w.day.Kinds[len(w.day.Kinds)-1]
+	// Kinds are dealt in turn, so that any run of servers has all of them.
+	sum, at := 0.0, float64(place*7919%1000)/1000
+	for _, k := range w.day.Kinds {
+		if sum += k.Share; at < sum {
+			kind = k
+			break
+		}
+	}
+	zone := w.day.Zones[place%len(w.day.Zones)]
+	return &server{id: id, addr: place, kind: kind, zone: zone, cell: place % (4 * len(w.day.Zones)), started: started}
+}
+
+// warmth is the share of its capacity that s has now.
+func (s *server) warmth(w *World) float64 {
+	if s.started == 0 || w.now-s.started >= w.day.ColdFor {
+		return 1
+	}
+	return w.day.ColdFrom + (1-w.day.ColdFrom)*float64(w.now-s.started)/float64(w.day.ColdFor)
+}
+
+// capacity is the work it does in a second, in seconds.
+func (s *server) capacity(w *World) float64 {
+	return float64(s.kind.Cores) * s.kind.Speed * s.warmth(w)
+}
+
+// dead reports whether nothing comes of what is sent to s.
+func (s *server) dead() bool { return s.gone || s.silent || s.fallen }
+
+// push notes work that has come to a cold server, and has it fall over where that is too much for too long.
+func (s *server) push(w *World, of time.Duration) {
+	if w.day.Tip <= 0 || s.warmth(w) == 1 {
+		return
+	}
+	s.pushed = append(s.pushed, work{w.now, of})
+	sum := time.Duration(0)
+	keep := s.pushed[:0]
+	for _, p := range s.pushed {
+		if p.at > w.now-w.day.TipFor {
+			keep = append(keep, p)
+			sum += p.of
+		}
+	}
+	s.pushed = keep
+	if sum.Seconds() > w.day.Tip*s.capacity(w)*w.day.TipFor.Seconds() && !s.fallen {
+		s.fallen = true
+		w.watch.fellOver(s)
+	}
+}
+
+// comes takes an attempt whose last byte has come.
+func (s *server) comes(w *World, a *attempt) {
+	switch {
+	case s.dead():
+		return // the connection stays open and silent, or the reset is told by who ended it
+	case s.draining:
+		a.back(w, policy.Full)
+		return
+	case s.fails > 0 && w.rng.Float64() < s.fails:
+		w.after(2*time.Millisecond, func() { a.back(w, policy.AppError) })
+		return
+	case s.busy >= s.kind.Cores && len(s.waiting) >= w.day.Room:
+		a.back(w, policy.Full)
+		return
+	}
+	s.push(w, a.try.root.work)
+	s.waiting = append(s.waiting, &job{a, a.try.root.work})
+	s.work(w)
+}
+
+// work starts what may start. Neither a time-out nor a cancel stops what waits or runs.
+func (s *server) work(w *World) {
+	for s.busy < s.kind.Cores && len(s.waiting) > 0 && !s.dead() {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.busy++
+		w.watch.runs(j.a)
+		w.after(time.Duration(float64(j.work)/(s.kind.Speed*s.warmth(w))), func() {
+			s.busy--
+			if !s.dead() {
+				j.a.back(w, policy.OK)
+				s.work(w)
+			}
+		})
+	}
+	s.note(w)
+}
+
+// note keeps the length of the queue for reports.
+func (s *server) note(w *World) {
+	for len(s.late) > 1 && s.late[1].at <= w.now-w.day.ReportLag {
+		s.late = s.late[1:]
+	}
+	s.late = append(s.late, report{w.now, len(s.waiting)})
+}
+
+// reported is the queue that a probe is told.
+func (s *server) reported(w *World) float64 {
+	queue := 0
+	for _, r := range s.late {
+		if r.at <= w.now-w.day.ReportLag {
+			queue = r.queue
+		}
+	}
+	return float64(queue)
+}
+
+// Silence has servers that match say nothing from now on, nor take connections; what runs there is lost.
+func (w *World) Silence(match func(place int, zone string) bool) {
+	for _, s := range w.servers {
+		if !s.gone && match(s.addr, s.zone) {
+			s.silent = true
+			w.list.change(s, policy.Gone)
+		}
+	}
+}
+
+// Return starts the silent servers anew, cold. Every other one is a new machine with a new name.
+func (w *World) Return() {
+	for i, s := range w.servers {
+		if !s.silent || s.gone {
+			continue
+		}
+		s.gone = true
+		id := s.id
+		if i%2 == 1 {
+			id += "n"
+		}
+		w.join(id, s.addr)
+	}
+}
+
+func (w *World) join(id string, place int) *server {
+	s := w.newServer(id, place, w.now)
+	w.servers = append(w.servers, s)
+	w.list.change(s, policy.Ready)
+	return s
+}
+
+// Replace drains a server and starts a new one, cold, under a new name; the old one ends after the grace.
+func (w *World) Replace(place int, grace time.Duration) {
+	for _, s := range w.servers {
+		if s.addr == place && !s.gone && !s.draining {
+			s.draining = true
+			w.list.change(s, policy.Draining)
+			w.after(grace, func() { w.End(s.id) })
+			w.join(s.id+"r", place)
+			return
+		}
+	}
+}
+
+// End ends a server's process: what is out there is reset.
+func (w *World) End(id string) {
+	for _, s := range w.servers {
+		if s.id == id && !s.gone {
+			s.gone = true
+			w.list.change(s, policy.Gone)
+			for _, in := range w.instances {
+				in.reset(s)
+			}
+		}
+	}
+}
+
+// Fail makes a server answer a share of requests with an error at once.
+func (w *World) Fail(place int, share float64) {
+	for _, s := range w.servers {
+		if s.addr == place {
+			s.fails = share
+		}
+	}
+}
+
+// Chill starts all servers anew at once, cold, under their names.
+func (w *World) Chill() {
+	for _, s := range w.servers {
+		if !s.gone {
+			s.started = w.now
+			w.list.change(s, policy.Ready)
+		}
+	}
+}
+
+// list is what discovery has to tell, and what it can.
+type list struct {
+	w        *World
+	seq      int
+	changes  []change
+	freeAt   policy.Time // when it has worked through the calls so far
+	watchers []*watcher
+}
+
+type change struct {
+	seq   int
+	told  policy.Time // from when on it is told
+	entry policy.Server
+}
+
+type watcher struct {
+	in  *instance
+	off bool
+}
+
+func newList(w *World) *list {
+	l := &list{w: w}
+	for _, s := range w.servers {
+		l.changes = append(l.changes, change{0, origin, s.entry(policy.Ready)})
+	}
+	return l
+}
+
+func (s *server) entry(state policy.ServerState) policy.Server {
+	return policy.Server{ID: policy.ServerID(s.id), State: state, Zone: s.zone, Cell: s.cell, Kind: s.kind.Name, Weight: 1, Started: s.started}
+}
+
+// change notes a change of the list, which is told later.
+func (l *list) change(s *server, state policy.ServerState) {
+	l.seq++
+	c := change{l.seq, l.w.now + l.w.day.Discovery.Notice, s.entry(state)}
+	l.changes = append(l.changes, c)
+	l.w.after(l.w.day.Discovery.Notice, func() {
+		for _, x := range l.watchers {
+			if !x.off {
+				l.w.after(l.w.day.Near, func() { x.in.told(policy.ListDelta, []policy.Server{c.entry}) })
+			}
+		}
+	})
+}
+
+// whole is the list as it is told now.
+func (l *list) whole() []policy.Server {
+	at := map[policy.ServerID]int{}
+	var all []policy.Server
+	for _, c := range l.changes {
+		if c.told > l.w.now {
+			continue
+		}
+		if i, is := at[c.entry.ID]; is {
+			all[i] = c.entry
+		} else {
+			at[c.entry.ID] = len(all)
+			all = append(all, c.entry)
+		}
+	}
+	kept := all[:0]
+	for _, e := range all {
+		if e.State != policy.Gone {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// call is a sidecar's call for a watch. Calls are worked through in turn.
+func (l *list) call(in *instance) *watcher {
+	x := &watcher{in: in}
+	l.w.second().Calls++
+	each := time.Duration(float64(time.Second) / l.w.day.Discovery.Calls)
+	begin := max(l.freeAt, l.w.now)
+	if begin+each-l.w.now > l.w.day.Discovery.Patience {
+		l.w.second().CallsLost++
+		l.w.after(2*l.w.day.Near, func() {
+			if !x.off {
+				x.off = true
+				in.lost()
+			}
+		})
+		return x
+	}
+	l.freeAt = begin + each
+	l.w.after(l.freeAt-l.w.now+l.w.day.Near, func() {
+		if !x.off {
+			l.watchers = append(l.watchers, x)
+			in.told(policy.ListFull, l.whole())
+		}
+	})
+	return x
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,321 @@
+// Package emulator plays a fleet in virtual time: many instances of the decision module, driven through its own interface, in front
+// of one set of servers that are slow, cold, silent, failing or gone, with clients that lose patience and come again, and a list
+// that is late and overbooked. Equal days give equal runs. An observer that shares no code with the module holds the four rules.
+package emulator
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sorrelrudder/policy"
+)
+
+// origin keeps the clock far from zero, which the module takes for 'never'.
+const origin = policy.Time(time.Hour)
+
+// Kind is a kind of machine.
+type Kind struct {
+	Name  string
+	Share float64 // of the servers
+	Cores int
+	Speed float64 // work done by a core in a second, in seconds of work
+}
+
+// Class is a class of requests, and how clients ask it.
+type Class struct {
+	policy.Class
+	Share float64       // of the requests
+	Work  time.Duration // mean, of one core at speed 1
+	CV    float64       // of the work, which is lognormal
+}
+
+// Clients is how clients behave.
+type Clients struct {
+	Rate     float64       // requests a second, of all; a retry is none
+	Spread   float64       // of the instances' rates: a request's instance is drawn by weights 1 to 1+Spread
+	Retries  int           // of one request
+	Pause    time.Duration // before a retry, where nothing is told
+	TryShare float64       // of the deadline that clients give a try
+	Heed     bool          // Retry-After is heeded
+}
+
+// Discovery is the service of the list.
+type Discovery struct {
+	Calls    float64       // that it works through in a second
+	Patience time.Duration // a call that would wait longer is turned away
+	Notice   time.Duration // from a change to its being told
+}
+
+// Step is something that happens to the world.
+type Step struct {
+	At time.Duration
+	Do func(*World)
+}
+
+// Day is all that a run depends on.
+type Day struct {
+	Seed      uint64
+	Length    time.Duration
+	Instances int
+	Servers   int
+	Kinds     []Kind
+	Zones     []string
+	Near, Far time.Duration // one way within a zone, and between two
+	Room      int           // requests that may wait at a server
+	MostConns int           // that a server holds
+	Handshake time.Duration // of a new connection, beyond the way there and back
+	ReportLag time.Duration // age of the figures that a probe is told
+	ColdFrom  float64
+	ColdFor   time.Duration
+	Tip       float64 // times what a cold server can do, for TipFor: then it falls over and stays down
+	TipFor    time.Duration
+	Classes   []Class
+	Clients   Clients
+	Discovery Discovery
+	Module    policy.Config // Ordinal, GroupSize, Zone, Classes and the cold figures are the day's
+	Steps     []Step
+	Start     time.Duration // over which the instances start
+}
+
+// event is due at a time; those of one time come in the order in which they were asked for.
+type event struct {
+	at  policy.Time
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
+
+// World is a day as it is played.
+type World struct {
+	day    Day
+	now    policy.Time
+	queue  events
+	seq    uint64
+	rng    *rand.Rand // of what happens; each instance has its own
+	closed bool       // no more clients
+
+	servers   []*server
+	list      *list
+	instances []*instance
+	weights   []float64 // of the instances, summed up
+	watch     *observer
+	Result    Result
+	lastRoot  int
+}
+
+// Result is what a day came to.
+type Result struct {
+	Seconds []Second // by second of the day
+	Broken  []string // rules, at most mostBroken of them
+	Breaks  int
+	Total   Second
+}
+
+// Second is what happened within one second.
+type Second struct {
+	Requests, InAim, Late, Unserved  int // by the second in which the request was first asked
+	Tries, Refused, Failed           int // by that in which it happened, as the rest
+	Worth, Served                    float64
+	Sends, Cold, Again               int
+	Unreached, TimedOut, Erred, Full int
+	Probes, Dials, Calls, CallsLost  int
+}
+
+// New makes the world of a day.
+func New(day Day) (*World, error) {
+	switch {
+	case day.Instances < 1 || day.Servers < 1 || len(day.Kinds) == 0 || len(day.Zones) == 0 || len(day.Classes) == 0:
+		return nil, fmt.Errorf("emulator: a day needs instances, servers, kinds, zones and classes")
+	case day.Length <= 0 || day.Clients.Rate <= 0 || day.Discovery.Calls <= 0:
+		return nil, fmt.Errorf("emulator: a day needs a length, a rate of clients and calls that discovery can take")
+	}
+	w := &World{day: day, now: origin, rng: rand.New(rand.NewPCG(day.Seed, 1))}
+	w.Result.Seconds = make([]Second, int((day.Length+time.Second-1)/time.Second)+1)
+	w.watch = newObserver(w)
+	for i := range day.Servers {
+		w.servers = append(w.servers, w.newServer(fmt.Sprintf("s%03d", i), i, 0))
+	}
+	w.list = newList(w)
+	weight := 0.0
+	for i := range day.Instances {
+		in, err := newInstance(w, i)
+		if err != nil {
+			return nil, err
+		}
+		w.instances = append(w.instances, in)
+		weight += 1 + day.Clients.Spread*float64(i%10)/9
+		w.weights = append(w.weights, weight)
+	}
+	return w, nil
+}
+
+// after has do done once d has passed.
+func (w *World) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + max(0, d), w.seq, do})
+}
+
+// At is how far the day has come.
+func (w *World) At() time.Duration { return w.now - origin }
+
+// second is that of now.
+func (w *World) second() *Second {
+	return &w.Result.Seconds[min(int(w.At()/time.Second), len(w.Result.Seconds)-1)]
+}
+
+// Run plays the day, and on until all that was asked is answered.
+func (w *World) Run() *Result {
+	for _, in := range w.instances {
+		w.after(time.Duration(w.rng.Float64()*float64(w.day.Start)), in.start)
+	}
+	for _, s := range w.day.Steps {
+		w.after(s.At, func() { s.Do(w) })
+	}
+	w.after(w.day.Start, w.arrive)
+	w.after(w.day.Length, func() { w.closed = true })
+	longest := time.Duration(0)
+	for _, c := range w.day.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	end := origin + w.day.Length + longest + 2*time.Second
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.watch.close()
+	for _, s := range w.Result.Seconds {
+		w.Result.Total.add(s)
+	}
+	return &w.Result
+}
+
+func (s *Second) add(o Second) {
+	s.Requests, s.InAim, s.Late, s.Unserved = s.Requests+o.Requests, s.InAim+o.InAim, s.Late+o.Late, s.Unserved+o.Unserved
+	s.Tries, s.Refused, s.Failed, s.Worth, s.Served = s.Tries+o.Tries, s.Refused+o.Refused, s.Failed+o.Failed, s.Worth+o.Worth, s.Served+o.Served
+	s.Sends, s.Cold, s.Again, s.Unreached, s.TimedOut = s.Sends+o.Sends, s.Cold+o.Cold, s.Again+o.Again, s.Unreached+o.Unreached, s.TimedOut+o.TimedOut
+	s.Erred, s.Full, s.Probes, s.Dials, s.Calls, s.CallsLost = s.Erred+o.Erred, s.Full+o.Full, s.Probes+o.Probes, s.Dials+o.Dials, s.Calls+o.Calls, s.CallsLost+o.CallsLost
+}
+
+// Span is the sum of the seconds from one to before another.
+func (r *Result) Span(from, to int) Second {
+	var sum Second
+	for _, s := range r.Seconds[from:min(to, len(r.Seconds))] {
+		sum.add(s)
+	}
+	return sum
+}
+
+// Share is the worth served over that asked.
+func (s Second) Share() float64 { return s.Served / max(s.Worth, 1e-9) }
+
+// arrive lets a client ask, and the next one later.
+func (w *World) arrive() {
+	if w.closed {
+		return
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()/w.day.Clients.Rate*float64(time.Second)), w.arrive)
+	x, class := w.rng.Float64(), 0
+	for class < len(w.day.Classes)-1 && x >= w.day.Classes[class].Share {
+		x -= w.day.Classes[class].Share
+		class++
+	}
+	c := &w.day.Classes[class]
+	at, _ := slices.BinarySearch(w.weights, w.rng.Float64()*w.weights[len(w.weights)-1])
+	w.lastRoot++
+	q := &root{
+		id: w.lastRoot, class: c, in: w.instances[min(at, len(w.instances)-1)], began: w.now, left: w.day.Clients.Retries,
+		work: lognormal(w.rng, c.Work, c.CV), second: int(w.At() / time.Second),
+	}
+	s := &w.Result.Seconds[q.second]
+	s.Requests++
+	s.Worth += q.worth()
+	q.try(w)
+}
+
+func lognormal(rng *rand.Rand, mean time.Duration, cv float64) time.Duration {
+	sigma := math.Sqrt(math.Log(1 + cv*cv))
+	return time.Duration(float64(mean) * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
+}
+
+// root is a request of a client with all its tries.
+type root struct {
+	id     int
+	class  *Class
+	in     *instance
+	began  policy.Time
+	left   int
+	work   time.Duration
+	second int
+	done   bool
+}
+
+// worth counts by work, so that a heavy request is worth more than a light one of its class.
+func (q *root) worth() float64 { return q.class.Worth * q.work.Seconds() }
+
+// try asks once.
+func (q *root) try(w *World) {
+	wait := time.Duration(w.day.Clients.TryShare * float64(q.class.Deadline))
+	if w.day.Clients.TryShare <= 0 || q.left == 0 {
+		wait = q.class.Deadline
+	}
+	wait = min(wait, q.began+q.class.Deadline-w.now)
+	w.second().Tries++
+	q.in.take(q, wait)
+}
+
+// ended takes the final answer to a try: 0 served, 1 refused, 2 failed, 3 given up.
+func (q *root) ended(w *World, how int, retryAfter time.Duration) {
+	if q.done {
+		return
+	}
+	s := &w.Result.Seconds[q.second]
+	switch {
+	case how == served && w.now-q.began <= q.class.Aim:
+		q.done = true
+		s.InAim++
+		s.Served += q.worth()
+	case how == served:
+		q.done = true
+		s.Late++
+		s.Served += q.worth() * q.class.LateShare
+	default:
+		pause := w.day.Clients.Pause
+		if w.day.Clients.Heed && retryAfter > 0 {
+			pause = retryAfter
+		}
+		if q.left == 0 || w.now+pause >= q.began+q.class.Deadline {
+			q.done = true
+			s.Unserved++
+			return
+		}
+		q.left--
+		w.after(pause, func() { q.try(w) })
+	}
+}
+
+const (
+	served = iota
+	refused
+	failed
+	givenUp
+)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -705,8 +705,15 @@
 // thin lets a request have a cold server for its first attempt only, and only a share of requests: that
 // of its least capacity. All picks for a request agree, so that asking twice does not double the share.
 func (b *Balancer) thin(now Time, r *request, s *server) bool {
-	w := b.warmth(now, s)
-	return w == 1 || len(r.attempts) == 0 && float64(hash(s.ID, uint64(r.ID))) < w*math.MaxUint64
+	w := b.share(now, s)
+	return b.warmth(now, s) == 1 || len(r.attempts) == 0 && float64(hash(s.ID, uint64(r.ID))) < w*math.MaxUint64
+}
+
+// share is the part that s, which is cold, gets where no warm one is to be had: its least capacity, less where its kind is slow. With
+// the same part for all, 80 sidecars before servers that were all cold pushed the smallest over. Beside warm ones coldTurn is
+// less than that, and spared slow kinds for nothing.
+func (b *Balancer) share(now Time, s *server) float64 {
+	return b.warmth(now, s) / max(b.kind(s).slowness, 1)
 }
 
 // late reports whether r would miss its aim at s by the latest figures.
