Send cold servers their part of what warm ones are spared, where many are cold

Cause: coldTurn (policy.go) gives a cold server its least capacity's part of an even load, over all servers.

Change: that part is raised by what all servers could do warm over what they can do now, 1.4 times at most, and only where some are warm. The emulator leaves the largest request of a window out of the account of a cold server: without, a single heavy request counted as pushing.

--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -127,7 +127,14 @@
 
 // Six in ten of 60 servers are replaced within 7 s, and the list is late.
 func TestMostReplaced(t *testing.T) {
+	for seed := range uint64(4) {
+		mostReplaced(t, seed+1)
+	}
+}
+
+func mostReplaced(t *testing.T, seed uint64) {
 	day := fleet()
+	day.Seed = seed
 	for i := range 36 {
 		place := i * 5 / 3
 		day.Steps = append(day.Steps, Step{4*time.Second + time.Duration(i)*190*ms, func(w *World) { w.Replace(place, 3*time.Second) }})
@@ -154,7 +161,14 @@
 
 // All servers start cold at once.
 func TestAllCold(t *testing.T) {
+	for seed := range uint64(6) {
+		allCold(t, seed+1)
+	}
+}
+
+func allCold(t *testing.T, seed uint64) {
 	day := fleet()
+	day.Seed = seed
 	day.Clients.Rate = 900
 	day.Steps = []Step{{3 * time.Second, func(w *World) { w.Chill() }}}
 	r := play(t, day)
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -74,22 +74,24 @@
 // dead reports whether nothing comes of what is sent to s.
 func (s *server) dead() bool { return s.gone || s.silent || s.fallen }
 
-// push notes work that has come to a cold server, and has it fall over where that is too much for too long.
+// push notes work that has come to a cold server, and has it fall over where that is too much for too long. The largest piece is
+// left out: one heavy request is chance, which nobody who sends it could know.
 func (s *server) push(w *World, of time.Duration) {
 	if w.day.Tip <= 0 || s.warmth(w) == 1 {
 		return
 	}
 	s.pushed = append(s.pushed, work{w.now, of})
-	sum := time.Duration(0)
+	sum, largest := time.Duration(0), time.Duration(0)
 	keep := s.pushed[:0]
 	for _, p := range s.pushed {
 		if p.at > w.now-w.day.TipFor {
 			keep = append(keep, p)
 			sum += p.of
+			largest = max(largest, p.of)
 		}
 	}
 	s.pushed = keep
-	if sum.Seconds() > w.day.Tip*s.capacity(w)*w.day.TipFor.Seconds() && !s.fallen {
+	if (sum-largest).Seconds() > w.day.Tip*s.capacity(w)*w.day.TipFor.Seconds() && !s.fallen {
 		s.fallen = true
 		w.watch.fellOver(s)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,8 @@
 	lateBand = 0.4
 	// firstEject is the first ejection; each further failure in a row doubles it, up to the ramp time.
 	firstEject = 500 * time.Millisecond
+	// coldMost bounds how much more than its part of an even load a cold server is sent, where many are cold.
+	coldMost = 1.4
 	// hedgeShare is the part of requests that may have a second copy sent while the first is out, and mostHedges how
 	// many of them may come at once. What the copies cost must stay small where all are slow.
 	hedgeShare = 0.03
@@ -588,7 +590,24 @@
 // gets that part of what this sidecar sends a warm one, whatever its reports, and however many wait.
 func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
-	if w := b.warmth(now, s); w == 1 || s.ejected > now || b.silent(now, s) || s.queue >= 1 || b.rng.Float64() >= w {
+	w := b.warmth(now, s)
+	if w == 1 || s.ejected > now || b.silent(now, s) || s.queue >= 1 {
+		return nil
+	}
+	able, warm := 0.0, 0 // of what all could do warm
+	for _, t := range b.ready {
+		x := b.warmth(now, t)
+		able += x
+		if x == 1 {
+			warm++
+		}
+	}
+	if warm < minReadySet { // none is spared by it
+		w = b.share(now, s)
+	} else {
+		w *= min(coldMost, float64(len(b.ready))/able)
+	}
+	if b.rng.Float64() >= w {
 		return nil
 	}
 	return s
