--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -98,6 +98,7 @@
 		"not keyed":       {strings.Replace(least, "keyed", "safe", 1) + "repeats_dropped_for = \"1s\"\n", []string{`f.toml:9: pools.orders.classes[1].repeats_dropped_for: only a class`}},
 		"kind":            {least + "[process]\nname = 7\nmemory = 64\n", []string{"f.toml:10: process.name: is a whole number, not a string", "f.toml:11: process.memory: is 64 without a unit"}},
 		"memory":          {least + "[process]\nmemory = \"1MiB\"\n", []string{"f.toml:10: process.memory: is 1MiB, outside 24MiB"}},
+		"figures":         {least + "[process]\nfigures_every = \"10ms\"\n", []string{"f.toml:9: process: figures every 10ms, more often than every 100ms"}},
 		"two lists":       {least + "[[pools.orders.servers]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n", []string{"f.toml:9: pools.orders.servers: the pool has two lists"}},
 		"no list":         {strings.Replace(least, "discovery = \"127.0.0.1:8500\"\n", "", 1), []string{"f.toml:4: pools.orders: the pool has no list"}},
 		"port 0":          {strings.Replace(least, "8500", "0", 1), []string{`f.toml:5: pools.orders.discovery: has the port "0"`}},
--- /dev/null
+++ b/internal/pool/outdated_test.go
@@ -0,0 +1,86 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/proc"
+	"sorrelrudder/internal/settings"
+	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/upstream"
+	"sorrelrudder/policy"
+)
+
+// scripted is a source that tells one message a call.
+type scripted struct {
+	calls chan *source.List
+	took  chan struct{}
+}
+
+func (s scripted) Watch(ctx context.Context, _ int64, tell func(*source.List)) error {
+	select {
+	case l := <-s.calls:
+		tell(l)
+		s.took <- struct{}{}
+		return errors.New("the end")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func listed(seq int64, whole bool, hosts ...string) *source.List {
+	l := &source.List{Seq: &seq, Whole: whole}
+	for _, h := range hosts {
+		l.Hosts = append(l.Hosts, source.Entry{Host: h, Dial: "127.0.0.1:1", Health: "active"})
+	}
+	return l
+}
+
+// A list older than the one in force is not taken over, whole or in part, until call after call tells it.
+func TestOutdatedList(t *testing.T) {
+	cfg := policy.Config{
+		GroupSize: 1, MaxAttempts: 1, AskEvery: 8 * time.Millisecond, Tick: time.Millisecond,
+		Classes: []policy.Class{{Name: "a", Aim: time.Second, Deadline: time.Second}},
+	}
+	src := scripted{make(chan *source.List), make(chan struct{}, 1)}
+	p, err := New(Config{Settings: settings.Settings{Config: cfg}, Source: src, Known: listed(10, true, "a")},
+		upstream.New(cfg, proc.NewDescriptors(64).Pool(1)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	has := func() string {
+		names := ""
+		for _, h := range []string{"a", "b", "c", "d"} {
+			p.mu.Lock()
+			if _, is := p.entries[policy.ServerID(h)]; is {
+				names += h
+			}
+			p.mu.Unlock()
+		}
+		return names
+	}
+	for i, c := range []struct {
+		tell *source.List
+		want string
+	}{
+		{listed(9, true, "b"), "a"},
+		{listed(11, true, "a", "c"), "ac"},
+		{listed(10, false, "b"), "ac"},
+		{listed(11, false, "d"), "acd"},
+		{listed(3, true, "b"), "acd"},
+		{listed(3, true, "b"), "acd"},
+		{listed(4, false, "b"), "acd"},
+		{listed(4, true, "b"), "b"}, // it counts anew
+		{listed(5, true, "c"), "c"},
+	} {
+		src.calls <- c.tell
+		<-src.took
+		if got := has(); got != c.want {
+			t.Errorf("after message %d: %q, want %q", i, got, c.want)
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -110,6 +110,7 @@
 	source    source.Source
 	seq       int64              // of the last list message
 	told      bool               // the source has told a list, beyond what was known at the start
+	older     int                // messages in a row that were older than the list in force
 	stopWatch context.CancelFunc // nil while there is no watch
 	probing   int                // probes under way
 	timers    timerHeap
@@ -569,17 +570,28 @@
 	since, from := p.seq, p.source
 	p.tally.Add(tally.Calls, 1)
 	p.spawn(func() {
-		err := from.Watch(ctx, since, func(l *source.List) {
+		var old error
+		watch, end := context.WithCancel(ctx)
+		defer end()
+		err := from.Watch(watch, since, func(l *source.List) {
 			kind := policy.ListDelta
 			if l.Whole {
 				kind = policy.ListFull
 			}
 			p.event(func(now policy.Time) {
-				if ctx.Err() == nil {
-					p.members(now, kind, l)
+				if watch.Err() != nil {
+					return
 				}
+				if old = p.outdated(l); old != nil {
+					end()
+					return
+				}
+				p.members(now, kind, l)
 			})
 		})
+		if old != nil {
+			err = old
+		}
 		p.event(func(now policy.Time) {
 			if ctx.Err() != nil { // called off
 				return
@@ -593,6 +605,24 @@
 	})
 }
 
+// mostOutdated is how many calls in a row may tell a whole list that is older than the one in force before it is believed: then
+// the source has begun to count anew, as after a loss of all it knew.
+const mostOutdated = 3
+
+// outdated says why a message of the source is not to be taken over. It guards against a replica that lags behind the one asked
+// before: servers that have gone would be sent requests again. Where the source truly counts anew, its list is late by some calls.
+func (p *Pool) outdated(l *source.List) error {
+	if *l.Seq >= p.seq {
+		p.older = 0
+		return nil
+	}
+	if p.older++; l.Whole && p.older > mostOutdated {
+		p.older = 0
+		return nil
+	}
+	return fmt.Errorf("the list is of version %d, older than %d, which stays in force", *l.Seq, p.seq)
+}
+
 // SetSource makes another source that of the list, and has the module ask there. The list in force stays until it tells.
 func (p *Pool) SetSource(from source.Source) {
 	p.event(func(now policy.Time) {
--- /dev/null
+++ b/internal/pool/tally_test.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/proc"
+	"sorrelrudder/internal/settings"
+	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/tally"
+	"sorrelrudder/internal/upstream"
+	"sorrelrudder/policy"
+)
+
+// lines hands on what is logged.
+type lines chan string
+
+func (l lines) Write(p []byte) (int, error) {
+	select {
+	case l <- string(p):
+	default: // nobody reads any more
+	}
+	return len(p), nil
+}
+
+// The log tells what happened in each spell, once; a spell in which nothing did is not told.
+func TestFiguresAreTold(t *testing.T) {
+	cfg := policy.Config{
+		GroupSize: 1, MaxAttempts: 1, AskEvery: time.Millisecond, Tick: time.Millisecond, Ramp: time.Hour,
+		Classes: []policy.Class{{Name: "a", Aim: time.Second, Deadline: time.Second}},
+	}
+	src := scripted{make(chan *source.List), make(chan struct{}, 1)}
+	out := make(lines, 100)
+	known := listed(1, true, "a", "b")
+	known.Hosts[1].BornMs = time.Now().UnixMilli()
+	p, err := New(Config{
+		Settings: settings.Settings{Config: cfg}, Source: src, Known: known, FiguresEvery: 20 * time.Millisecond,
+	}, upstream.New(cfg, proc.NewDescriptors(64).Pool(1)), slog.New(slog.NewTextHandler(out, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	src.calls <- listed(2, true, "a", "b") // one call has come, and ends
+	<-src.took
+	var sum tally.Row
+	for sum.N[tally.CallsFailed] == 0 || sum.N[tally.Calls] < 2 {
+		select {
+		case line := <-out:
+			if _, _, row, ok := tally.Parse(line); ok {
+				if row.Empty() || row.Listed != 2 {
+					t.Errorf("told %s", line)
+				}
+				sum.Merge(row)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("only %+v was told", sum)
+		}
+	}
+	if sum.N[tally.Calls] != 2 || sum.N[tally.CallsFailed] != 1 {
+		t.Errorf("two calls, of which one has ended, are told as %+v", sum)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -527,6 +527,17 @@
 	if _, err := LoadConfig(getenv); err != nil {
 		t.Errorf("32 MB: %v", err)
 	}
+	for value, want := range map[string]bool{"1s": true, "100ms": true, "1ms": false, "often": false, "-1s": false} {
+		_, err := LoadConfig(func(name string) string {
+			if name == "GW_FIGURES_EVERY" {
+				return value
+			}
+			return getenv(name)
+		})
+		if (err == nil) != want || err != nil && !strings.Contains(err.Error(), "GW_FIGURES_EVERY") {
+			t.Errorf("GW_FIGURES_EVERY=%s: %v", value, err)
+		}
+	}
 	for _, text := range []string{"", "{", `{"listen":"a","discovery":"b"}`, `{"listen":"a","discovery":"b","limits":{"memory_mb":1},"settings":{}}`} {
 		if err := os.WriteFile(getenv("GW_CONFIG"), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -719,3 +719,20 @@
 		t.Errorf("%d kinds are kept", len(b.kinds))
 	}
 }
+
+// The order in which a list names its servers means nothing: sets and connections stay as they are.
+func TestOrderOfTheListMeansNothing(t *testing.T) {
+	b, rec := start(t, testConfig(), 40)
+	var list []Server
+	for _, s := range b.servers {
+		list = append(list, s.Server)
+	}
+	before := slices.Clone(b.ready)
+	for seed := range uint64(5) {
+		rand.New(rand.NewPCG(seed, 1)).Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		b.Members(time.Second, ListFull, list, rec)
+		if !slices.Equal(before, b.ready) {
+			t.Fatal("the ready servers changed with the order of the list")
+		}
+	}
+}
