--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -37,11 +37,15 @@
 	Check   checkCmd   `cmd:"" help:"Check an operator's file: every error with file, line and key; exit 2 if there is any."`
 	Route   routeCmd   `cmd:"" help:"Tell which route and class of an operator's file take a request."`
 	Fleet   fleetCmd   `cmd:"" help:"Count over a fleet what its processes tell in their logs (figures_every, GW_FIGURES_EVERY)."`
+	Emulate emulateCmd `cmd:"" help:"Play a day's file in virtual time with several seeds; exit 1 if a rule was broken."`
 	Lab     labCmd     `cmd:"" help:"Play a scenario on loopback against stand-ins and check the four rules; exit 1 if one broke or a bound was missed."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Proxy   proxyCmd   `cmd:"" hidden:"" help:"The plain reverse proxy that 'lab cost' compares with."`
 }
 
+// errDay is what is wrong with a day's file or how it is to be played.
+var errDay = errors.New("emulate")
+
 type streams struct{ out, err io.Writer }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -76,6 +80,9 @@
 	case errors.As(err, &bad):
 		fmt.Fprintln(stderr, bad)
 		return exitUsage
+	case errors.Is(err, errDay):
+		fmt.Fprintln(stderr, "sorrelrudder:", err)
+		return exitUsage
 	case errors.Is(err, errScenario):
 		return exitFailed
 	case errors.Is(err, lab.ErrUnknown), errors.Is(err, os.ErrNotExist):
--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -131,6 +131,7 @@
 	"internal/figures":   {},
 	"internal/tally":     {},
 	"internal/emulator":  {"policy"},
+	"internal/dayfile":   {"policy", "internal/emulator"},
 	"internal/fixedseed": {},
 	"internal/admin":     {"internal/figures"},
 	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
@@ -153,7 +154,7 @@
 	"internal/lab":     {"internal/standin"},
 	"cmd/adapter":      {"internal/wire"},
 	"cmd/cairnpick":    {"internal/sidecar"},
-	"cmd/sorrelrudder": {"internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile", "internal/tally"},
+	"cmd/sorrelrudder": {"internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile", "internal/tally", "internal/dayfile", "internal/emulator"},
 }
 
 // pure modules read no clock, open nothing and start nothing.
--- /dev/null
+++ b/internal/dayfile/dayfile.go
@@ -0,0 +1,311 @@
+// Package dayfile reads a day of the emulator from TOML: every error with file, line and key. What is left out has the value of Usual.
+package dayfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"sorrelrudder/internal/emulator"
+	"sorrelrudder/policy"
+)
+
+// mostServers and mostInstances bound a day, mostLength its length and mostRate its requests a second.
+const (
+	mostServers   = 2000
+	mostInstances = 10000
+	mostLength    = time.Hour
+	mostRate      = 100000
+)
+
+// Duration is a time as it is written.
+type Duration time.Duration
+
+// UnmarshalText is the method of encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err == nil && v < 0 {
+		err = fmt.Errorf("%q is below 0", text)
+	}
+	*d = Duration(v)
+	return err
+}
+
+// MarshalText is the method of encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// File is a day as it is written down.
+type File struct {
+	Seed      uint64    `toml:"seed"`
+	Length    Duration  `toml:"length"`
+	Instances int       `toml:"instances"`
+	Servers   int       `toml:"servers"`
+	Zones     []string  `toml:"zones"`
+	Near      Duration  `toml:"near"`
+	Far       Duration  `toml:"far"`
+	Room      int       `toml:"room"`
+	MostConns int       `toml:"most_connections"`
+	ReportLag Duration  `toml:"report_lag"`
+	ColdFrom  float64   `toml:"cold_from"`
+	ColdFor   Duration  `toml:"cold_for"`
+	Clients   Clients   `toml:"clients"`
+	Discovery Discovery `toml:"discovery"`
+	Kinds     []Kind    `toml:"kinds"`
+	Classes   []Class   `toml:"classes"`
+	Faults    []Fault   `toml:"faults"`
+}
+
+// Clients is how clients behave.
+type Clients struct {
+	Rate    float64  `toml:"rate"`
+	Retries int      `toml:"retries"`
+	Pause   Duration `toml:"pause"`
+	Heed    bool     `toml:"heed_retry_after"`
+}
+
+// Discovery is the service of the list.
+type Discovery struct {
+	Calls  float64  `toml:"calls"`
+	Notice Duration `toml:"notice"`
+}
+
+// Kind is a kind of machine.
+type Kind struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Cores int     `toml:"cores"`
+	Speed float64 `toml:"speed"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     string   `toml:"name"`
+	Effect   string   `toml:"effect"`
+	Group    string   `toml:"repeats_dropped_by"`
+	KeyTTL   Duration `toml:"repeats_dropped_for"`
+	Aim      Duration `toml:"aim"`
+	Deadline Duration `toml:"deadline"`
+	Worth    float64  `toml:"worth"`
+	Late     float64  `toml:"late_worth"`
+	Share    float64  `toml:"share"`
+	Work     Duration `toml:"work"`
+	CV       float64  `toml:"work_cv"`
+}
+
+// Fault is something that happens.
+type Fault struct {
+	At      Duration `toml:"at"`
+	Kind    string   `toml:"kind"`
+	Zone    string   `toml:"zone"`
+	Servers int      `toml:"servers"`
+	Share   float64  `toml:"share"`
+	Over    Duration `toml:"over"`
+}
+
+// The kinds of faults: what each does to the world.
+var faults = map[string]func(Fault) []emulator.Step{
+	"zone-lost": func(f Fault) []emulator.Step {
+		return once(f, func(w *emulator.World) { w.Silence(func(_ int, zone string) bool { return zone == f.Zone }) })
+	},
+	"zone-back": func(f Fault) []emulator.Step { return once(f, (*emulator.World).Return) },
+	"all-cold":  func(f Fault) []emulator.Step { return once(f, (*emulator.World).Chill) },
+	"fail-fast": func(f Fault) []emulator.Step {
+		return once(f, func(w *emulator.World) {
+			for i := range f.Servers {
+				w.Fail(i, f.Share)
+			}
+		})
+	},
+	"restart": func(f Fault) []emulator.Step { // of a share of the instances
+		return once(f, func(w *emulator.World) {
+			w.Restart(func(o int) bool { return float64(o*7919%1000) < f.Share*1000 }, time.Duration(f.Over))
+		})
+	},
+	"replace": func(f Fault) []emulator.Step {
+		var all []emulator.Step
+		for i := range f.Servers {
+			at := time.Duration(f.At) + time.Duration(i)*time.Duration(f.Over)/time.Duration(max(f.Servers, 1))
+			all = append(all, emulator.Step{At: at, Do: func(w *emulator.World) { w.Replace(i, 3*time.Second) }})
+		}
+		return all
+	},
+}
+
+func once(f Fault, do func(*emulator.World)) []emulator.Step {
+	return []emulator.Step{{At: time.Duration(f.At), Do: do}}
+}
+
+// Usual is a day of a middling fleet without faults.
+func Usual() File {
+	ms := func(n int) Duration { return Duration(time.Duration(n) * time.Millisecond) }
+	return File{
+		Seed: 1, Length: ms(20000), Instances: 20, Servers: 16, Zones: []string{"a", "b"}, Near: Duration(500 * time.Microsecond), Far: ms(7),
+		Room: 300, MostConns: 400, ReportLag: ms(150), ColdFrom: 0.35, ColdFor: ms(8000),
+		Clients: Clients{Rate: 350, Retries: 3, Pause: ms(20), Heed: true}, Discovery: Discovery{Calls: 60, Notice: ms(1500)},
+	}
+}
+
+// Load reads a day's file.
+func Load(path string) (emulator.Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return emulator.Day{}, err
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a day's text; name is what errors call it.
+func Parse(name string, text []byte) (emulator.Day, error) {
+	f := Usual()
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return emulator.Day{}, explain(name, err)
+	}
+	day, err := f.Day()
+	if err != nil {
+		return emulator.Day{}, fmt.Errorf("%s: %w", name, err)
+	}
+	return day, nil
+}
+
+// explain names line and key of an error of the reader.
+func explain(name string, err error) error {
+	var unknown *toml.StrictMissingError
+	var bad *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+		var all []error
+		for _, e := range unknown.Errors {
+			line, _ := e.Position()
+			all = append(all, fmt.Errorf("%s:%d: %s: unknown key", name, line, key(e.Key())))
+		}
+		return errors.Join(all...)
+	case errors.As(err, &bad):
+		line, _ := bad.Position()
+		return fmt.Errorf("%s:%d: %s: %w", name, line, key(bad.Key()), err)
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+func key(k toml.Key) string {
+	s := ""
+	for i, part := range k {
+		if i > 0 {
+			s += "."
+		}
+		s += part
+	}
+	return s
+}
+
+// Day is the day that f describes; the error names every key that cannot be used.
+func (f *File) Day() (emulator.Day, error) {
+	var errs []error
+	bad := func(key, format string, args ...any) { errs = append(errs, fmt.Errorf(key+": "+format, args...)) }
+	within := func(key string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			bad(key, "is %g, outside %g to %g", v, least, most)
+		}
+	}
+	within("length", time.Duration(f.Length).Seconds(), 1, mostLength.Seconds())
+	within("instances", float64(f.Instances), 1, mostInstances)
+	within("servers", float64(f.Servers), 1, mostServers)
+	within("clients.rate", f.Clients.Rate, 0.001, mostRate)
+	within("clients.retries", float64(f.Clients.Retries), 0, 10)
+	within("discovery.calls", f.Discovery.Calls, 0.1, 1e6)
+	within("cold_from", f.ColdFrom, 0.01, 1)
+	within("room", float64(f.Room), 0, 1e6)
+	within("most_connections", float64(f.MostConns), 0, 1e6)
+	if len(f.Zones) == 0 {
+		bad("zones", "names none")
+	}
+	day := emulator.Day{
+		Seed: f.Seed, Length: time.Duration(f.Length), Instances: f.Instances, Servers: f.Servers, Zones: f.Zones, Start: 100 * time.Millisecond,
+		Near: time.Duration(f.Near), Far: time.Duration(f.Far), Room: f.Room, MostConns: f.MostConns, Handshake: 2 * time.Millisecond,
+		ReportLag: time.Duration(f.ReportLag), ColdFrom: f.ColdFrom, ColdFor: time.Duration(f.ColdFor), Tip: 2.5, TipFor: time.Second,
+		Clients: emulator.Clients{
+			Rate: f.Clients.Rate, Spread: 1, Retries: f.Clients.Retries, Pause: time.Duration(f.Clients.Pause), TryShare: 0.5, Heed: f.Clients.Heed,
+		},
+		Discovery: emulator.Discovery{Calls: f.Discovery.Calls, Patience: 2 * time.Second, Notice: time.Duration(f.Discovery.Notice)},
+		Module: policy.Config{
+			MayProbe: true, MayCancel: true, MayDuplicate: true, HintsRetry: f.Clients.Heed, MaxAttempts: 3, MaxRetryAfter: 1500 * time.Millisecond,
+			DialTimeout: 250 * time.Millisecond, ConnIdle: 5 * time.Second, Tick: time.Millisecond, AskEvery: 10 * time.Second,
+			AnswerGrace: 5 * time.Millisecond, ProbeTariff: 0.08, HandshakeTariff: 0.08, CrossZoneTariff: 0.03,
+		},
+	}
+	for i, k := range f.Kinds {
+		at := fmt.Sprintf("kinds[%d].", i+1)
+		within(at+"cores", float64(k.Cores), 1, 1024)
+		within(at+"speed", k.Speed, 0.001, 1000)
+		within(at+"share", k.Share, 0, 1)
+		day.Kinds = append(day.Kinds, emulator.Kind{Name: k.Name, Share: k.Share, Cores: k.Cores, Speed: k.Speed})
+	}
+	if len(f.Kinds) == 0 {
+		day.Kinds = []emulator.Kind{{Name: "even", Share: 1, Cores: 3, Speed: 1.2}}
+	}
+	effects := map[string]policy.Effect{"": policy.Safe, "safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
+	groups := map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+	for i, c := range f.Classes {
+		at := fmt.Sprintf("classes[%d].", i+1)
+		effect, known := effects[c.Effect]
+		if !known {
+			bad(at+"effect", "is %q, none of safe, keyed, unsafe", c.Effect)
+		}
+		group, known := groups[c.Group]
+		if !known {
+			bad(at+"repeats_dropped_by", "is %q, none of all, zone, cell", c.Group)
+		}
+		if c.Name == "" {
+			bad(at+"name", "is missing")
+		}
+		within(at+"aim", time.Duration(c.Aim).Seconds(), 0.001, 60)
+		within(at+"deadline", time.Duration(c.Deadline).Seconds(), time.Duration(c.Aim).Seconds(), 60)
+		within(at+"work", time.Duration(c.Work).Seconds(), 1e-6, 60)
+		within(at+"share", c.Share, 0, 1)
+		within(at+"worth", c.Worth, 0, 1e6)
+		within(at+"work_cv", c.CV, 0, 10)
+		day.Classes = append(day.Classes, emulator.Class{
+			Class: policy.Class{
+				Name: c.Name, Effect: effect, Group: group, KeyTTL: time.Duration(c.KeyTTL), Aim: time.Duration(c.Aim),
+				Deadline: time.Duration(c.Deadline), Worth: c.Worth, LateShare: c.Late,
+			}, Share: c.Share, Work: time.Duration(c.Work), CV: c.CV,
+		})
+	}
+	if len(f.Classes) == 0 {
+		day.Classes = []emulator.Class{{
+			Class: policy.Class{Name: "read", Aim: 450 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, LateShare: 0.3}, Share: 1, Work: 90 * time.Millisecond, CV: 1,
+		}}
+	}
+	for i, x := range f.Faults {
+		at := fmt.Sprintf("faults[%d].", i+1)
+		make, known := faults[x.Kind]
+		if !known {
+			bad(at+"kind", "is %q, none of all-cold, fail-fast, replace, restart, zone-back, zone-lost", x.Kind)
+			continue
+		}
+		within(at+"servers", float64(x.Servers), 0, float64(f.Servers))
+		within(at+"share", x.Share, 0, 1)
+		if x.At > f.Length {
+			bad(at+"at", "is %v, after the day's end", time.Duration(x.At))
+		}
+		if x.Kind == "zone-lost" && !contains(f.Zones, x.Zone) {
+			bad(at+"zone", "is %q, none of zones", x.Zone)
+		}
+		day.Steps = append(day.Steps, make(x)...)
+	}
+	return day, errors.Join(errs...)
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -204,12 +204,13 @@
 	}
 	w.watch.close()
 	for _, s := range w.Result.Seconds {
-		w.Result.Total.add(s)
+		w.Result.Total.Add(s)
 	}
 	return &w.Result
 }
 
-func (s *Second) add(o Second) {
+// Add adds another Second.
+func (s *Second) Add(o Second) {
 	s.Requests, s.InAim, s.Late, s.Unserved = s.Requests+o.Requests, s.InAim+o.InAim, s.Late+o.Late, s.Unserved+o.Unserved
 	s.Tries, s.Refused, s.Failed, s.Worth, s.Served = s.Tries+o.Tries, s.Refused+o.Refused, s.Failed+o.Failed, s.Worth+o.Worth, s.Served+o.Served
 	s.Sends, s.Cold, s.Again, s.Unreached, s.TimedOut = s.Sends+o.Sends, s.Cold+o.Cold, s.Again+o.Again, s.Unreached+o.Unreached, s.TimedOut+o.TimedOut
@@ -220,7 +221,7 @@
 func (r *Result) Span(from, to int) Second {
 	var sum Second
 	for _, s := range r.Seconds[from:min(to, len(r.Seconds))] {
-		sum.add(s)
+		sum.Add(s)
 	}
 	return sum
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -119,6 +119,7 @@
 	after     []func(now policy.Time)
 	closed    bool      // nothing more is to happen
 	tally     tally.Row // what happened since the log was told; counted whether it is or not
+	tells     bool      // it is
 }
 
 // request is one request of a client, from its last byte until all its attempts are back.
@@ -180,6 +181,7 @@
 	}
 	p.work.Go(func() { up.Sweep(ctx) })
 	if cfg.FiguresEvery > 0 {
+		p.tells = true
 		p.work.Go(func() { p.tellFigures(cfg.FiguresEvery) })
 	}
 	p.event(func(now policy.Time) { p.members(now, policy.ListCached, known) })
@@ -385,7 +387,7 @@
 	if a.number > 0 {
 		p.tally.Add(tally.Again, 1)
 	}
-	if p.warming(a.sent, server) {
+	if p.tells && p.warming(a.sent, server) {
 		p.tally.Add(tally.Cold, 1)
 	}
 	to, listed := p.peers[server]
--- a/internal/pool/tally.go
+++ b/internal/pool/tally.go
@@ -15,13 +15,13 @@
 	policy.Full: tally.TurnedAway, policy.Reset: tally.Broken,
 }
 
-// endOf is as what the end of r counts. A long answer counts as its first bytes come.
+// endOf is as what the end of r counts, where that is told. A long answer counts as its first bytes come.
 func (p *Pool) endOf(r *request, o figures.Outcome) tally.Count {
 	switch o {
 	case figures.Declined:
 		return tally.Refused
 	case figures.Succeeded:
-		if aim := p.aims[r.event.Class]; aim > 0 && p.now()-r.taken > aim {
+		if aim := p.aims[r.event.Class]; p.tells && aim > 0 && p.now()-r.taken > aim {
 			return tally.Late
 		}
 		return tally.InAim
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -142,7 +142,7 @@
 			s = &server{slowness: 1}
 			b.servers[e.ID] = s
 		}
-		s.Server = e
+		s.Server, s.like = e, b.kind(e.Kind)
 	}
 	b.rebuild()
 	for id, s := range b.servers { // ids come and go for ever; attempts keep hold of theirs
@@ -440,33 +440,33 @@
 	at := b.delay.at(a.queue)
 	if s := a.server; at > 0 {
 		ratio := min(delay/at, 10)
-		if k := b.kind(s); !a.cold {
-			k.slowness += smooth / 2 * (ratio - k.slowness)
+		if !a.cold {
+			s.like.slowness += smooth / 2 * (ratio - s.like.slowness)
 		}
-		s.answers++
+		s.answers = min(s.answers+1, 1/smooth)
 		s.slowness += max(smooth, 1/float64(s.answers)) * (ratio - s.slowness)
 	}
 	if !a.cold {
-		b.delay.learn(a.queue, delay/b.slowness(a.server))
+		b.delay.learn(a.queue, delay/a.server.slow())
 	}
 }
 
-// slowness is how much slower than expected the answers of s are: its own so far, and those of its kind of machine where
+// slow is how much slower than expected the answers of s are: its own so far, and those of its kind of machine where
 // there are few. Without them a sidecar that meets most servers seldom would take each for an even one for as long as it is
 // there, and crowd the slow ones.
-func (b *Balancer) slowness(s *server) float64 {
-	n := min(float64(s.answers), 1/smooth)
-	return (n*s.slowness + kindAnswers*b.kind(s).slowness) / (n + kindAnswers)
+func (s *server) slow() float64 {
+	n := float64(s.answers)
+	return (n*s.slowness + kindAnswers*s.like.slowness) / (n + kindAnswers)
 }
 
-// kind is that of s.
-func (b *Balancer) kind(s *server) *machines {
-	k := b.kinds[s.Kind]
-	if k == nil && len(b.kinds) < mostKinds {
-		k = &machines{slowness: 1}
-		b.kinds[s.Kind] = k
-	} else if k == nil {
+// kind is what the machines of that name have in common.
+func (b *Balancer) kind(name string) *machines {
+	k := b.kinds[name]
+	if k == nil {
 		k = &machines{slowness: 1}
+		if len(b.kinds) < mostKinds {
+			b.kinds[name] = k
+		}
 	}
 	return k
 }
@@ -732,7 +732,7 @@
 // the same part for all, 80 sidecars before servers that were all cold pushed the smallest over. Beside warm ones coldTurn is
 // less than that, and spared slow kinds for nothing.
 func (b *Balancer) share(now Time, s *server) float64 {
-	return b.warmth(now, s) / max(b.kind(s).slowness, 1)
+	return b.warmth(now, s) / max(s.like.slowness, 1)
 }
 
 // late reports whether r would miss its aim at s by the latest figures.
@@ -773,7 +773,7 @@
 // slower than it s has been, and at least what its own pace tells. The line is learnt of all servers alike, and goes flat
 // where the quick ones are given more and so hold more; the pace guards against heaping requests on one of them then.
 func (b *Balancer) expected(now Time, s *server) time.Duration {
-	line := min(b.delay.at(b.standing(s))*b.slowness(s), float64(time.Hour))
+	line := min(b.delay.at(b.standing(s))*s.slow(), float64(time.Hour))
 	return max(time.Duration(line), s.turn(now))
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,7 +102,8 @@
 	used     Time    // the last send
 	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
-	answers  int     // that tell it
+	answers  int     // that tell it, as far as they count
+	like     *machines
 	gap      float64 // smoothed: time from one answer to own attempts to the next, while some are out
 	turnFrom Time    // of the last answer
 	overtook Time    // when the latest attempt was sent that it has answered
