Measure how far the sets of eighty sidecars move; drawing them by hashing tried, not landed

Need: do sets move no more than they must as servers come and go? They do: rebuild (policy.go) draws them by places in the list, so that one of 60 servers that goes moves 0.53 of all members.

Tried: sets by hashing alone where a server is in five or more. Not landed; a test holds how even the sets are.

--- /dev/null
+++ b/policy/sets_test.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Each server is in about equally many sets of 80 sidecars before 60 servers, also as one goes and as 36 are replaced; how far sets
+// move is told.
+func TestSetsOfManySidecars(t *testing.T) {
+	list := func(n int, skip func(i int) bool) []Server {
+		var all []Server
+		for i := range n {
+			if !skip(i) {
+				all = append(all, Server{ID: ServerID(fmt.Sprint("s", i)), Zone: string(rune('a' + i%2))})
+			}
+		}
+		return all
+	}
+	sets := func(servers []Server) (all []map[ServerID]bool, most, least int) {
+		met := map[ServerID]int{}
+		for o := range 80 {
+			cfg := testConfig()
+			cfg.Ordinal, cfg.GroupSize = o, 80
+			b, err := New(cfg, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Members(0, ListFull, servers, &recorder{})
+			set := map[ServerID]bool{}
+			for _, s := range b.ready[:b.setSize] {
+				set[s.ID] = true
+				met[s.ID]++
+			}
+			all = append(all, set)
+		}
+		least = 1 << 30
+		for _, s := range servers {
+			most, least = max(most, met[s.ID]), min(least, met[s.ID])
+		}
+		return all, most, least
+	}
+	before, most, least := sets(list(60, func(int) bool { return false }))
+	t.Logf("60 servers: in %d to %d sets of 80", least, most)
+	if least == 0 || most > 4*least {
+		t.Errorf("60 servers are in %d to %d sets of 80", least, most)
+	}
+	for name, c := range map[string]struct {
+		servers []Server
+		must    float64 // members that have gone
+	}{
+		"one gone": {list(60, func(i int) bool { return i == 17 }), 1.0 / 60},
+		"36 new":   {list(96, func(i int) bool { return i < 36 }), 36.0 / 60},
+	} {
+		after, most, least := sets(c.servers)
+		moved, all := 0, 0
+		for o := range after {
+			for id := range after[o] {
+				all++
+				if !before[o][id] {
+					moved++
+				}
+			}
+		}
+		t.Logf("%s: %.2f of the members are others (must: %.2f); servers are in %d to %d sets", name, float64(moved)/float64(all), c.must, least, most)
+		if least == 0 || most > 4*least {
+			t.Errorf("%s: servers are in %d to %d sets of 80", name, least, most)
+		}
+	}
+}
