One tail for both draws of a set; drop what nothing reads in the emulator

Change: rebuild fills the set by dealing or by places and goes on alike; emulator.UsualModule serves both; slices.Contains and strings.Join. Behaviour is as it was.

--- a/internal/dayfile/dayfile.go
+++ b/internal/dayfile/dayfile.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -182,27 +184,16 @@
 		var all []error
 		for _, e := range unknown.Errors {
 			line, _ := e.Position()
-			all = append(all, fmt.Errorf("%s:%d: %s: unknown key", name, line, key(e.Key())))
+			all = append(all, fmt.Errorf("%s:%d: %s: unknown key", name, line, strings.Join(e.Key(), ".")))
 		}
 		return errors.Join(all...)
 	case errors.As(err, &bad):
 		line, _ := bad.Position()
-		return fmt.Errorf("%s:%d: %s: %w", name, line, key(bad.Key()), err)
+		return fmt.Errorf("%s:%d: %s: %w", name, line, strings.Join(bad.Key(), "."), err)
 	}
 	return fmt.Errorf("%s: %w", name, err)
 }
 
-func key(k toml.Key) string {
-	s := ""
-	for i, part := range k {
-		if i > 0 {
-			s += "."
-		}
-		s += part
-	}
-	return s
-}
-
 // Day is the day that f describes; the error names every key that cannot be used.
 func (f *File) Day() (emulator.Day, error) {
 	var errs []error
@@ -232,12 +223,9 @@
 			Rate: f.Clients.Rate, Spread: 1, Retries: f.Clients.Retries, Pause: time.Duration(f.Clients.Pause), TryShare: 0.5, Heed: f.Clients.Heed,
 		},
 		Discovery: emulator.Discovery{Calls: f.Discovery.Calls, Patience: 2 * time.Second, Notice: time.Duration(f.Discovery.Notice)},
-		Module: policy.Config{
-			MayProbe: true, MayCancel: true, MayDuplicate: true, HintsRetry: f.Clients.Heed, MaxAttempts: 3, MaxRetryAfter: 1500 * time.Millisecond,
-			DialTimeout: 250 * time.Millisecond, ConnIdle: 5 * time.Second, Tick: time.Millisecond, AskEvery: 10 * time.Second,
-			AnswerGrace: 5 * time.Millisecond, ProbeTariff: 0.08, HandshakeTariff: 0.08, CrossZoneTariff: 0.03,
-		},
+		Module:    emulator.UsualModule(),
 	}
+	day.Module.HintsRetry = f.Clients.Heed
 	for i, k := range f.Kinds {
 		at := fmt.Sprintf("kinds[%d].", i+1)
 		within(at+"cores", float64(k.Cores), 1, 1024)
@@ -283,7 +271,7 @@
 	}
 	for i, x := range f.Faults {
 		at := fmt.Sprintf("faults[%d].", i+1)
-		make, known := faults[x.Kind]
+		steps, known := faults[x.Kind]
 		if !known {
 			bad(at+"kind", "is %q, none of all-cold, fail-fast, replace, restart, zone-back, zone-lost", x.Kind)
 			continue
@@ -293,19 +281,10 @@
 		if x.At > f.Length {
 			bad(at+"at", "is %v, after the day's end", time.Duration(x.At))
 		}
-		if x.Kind == "zone-lost" && !contains(f.Zones, x.Zone) {
+		if x.Kind == "zone-lost" && !slices.Contains(f.Zones, x.Zone) {
 			bad(at+"zone", "is %q, none of zones", x.Zone)
 		}
-		day.Steps = append(day.Steps, make(x)...)
+		day.Steps = append(day.Steps, steps(x)...)
 	}
 	return day, errors.Join(errs...)
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -24,11 +24,7 @@
 		},
 		Clients:   Clients{Rate: 1300, Spread: 1, Retries: 3, Pause: 20 * ms, TryShare: 0.5, Heed: true},
 		Discovery: Discovery{Calls: 60, Patience: 2 * time.Second, Notice: 1500 * ms},
-		Module: policy.Config{
-			MayProbe: true, MayCancel: true, MayDuplicate: true, HintsRetry: true, MaxAttempts: 3, MaxRetryAfter: 1500 * ms, DialTimeout: 250 * ms,
-			ConnIdle: 5 * time.Second, Tick: ms, AskEvery: 10 * time.Second, AnswerGrace: 5 * ms,
-			ProbeTariff: 0.08, HandshakeTariff: 0.08, CrossZoneTariff: 0.03,
-		},
+		Module:    UsualModule(),
 	}
 }
 
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"sorrelrudder/policy"
@@ -20,7 +19,6 @@
 	known   map[policy.ServerID]*server // by the list that it was told
 	idle    map[*server]int             // connections on which nothing is asked
 	watcher *watcher
-	rng     *rand.Rand
 	after   []func()
 	inside  bool
 }
@@ -51,7 +49,6 @@
 func newInstance(w *World, ordinal int) (*instance, error) {
 	in := &instance{
 		w: w, ordinal: ordinal, zone: w.day.Zones[ordinal%len(w.day.Zones)], seed: w.day.Seed<<16 + uint64(ordinal),
-		rng: rand.New(rand.NewPCG(w.day.Seed, uint64(ordinal)+2)),
 	}
 	return in, in.renew()
 }
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -26,7 +26,6 @@
 // book is what the observer knows of one try.
 type book struct {
 	answers int
-	ran     []*attempt // that may have run
 	out     map[*attempt]bool
 }
 
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -43,8 +43,6 @@
 }
 
 func (w *World) newServer(id string, place int, started policy.Time) *server {
-	x := (float64(place) + 0.5) / float64(max(w.day.Servers, 1))
-	x -= float64(int(x))
 	kind := w.day.Kinds[len(w.day.Kinds)-1]
 	// Kinds are dealt in turn, so that any run of servers has all of them.
 	sum, at := 0.0, float64(place*7919%1000)/1000
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -119,7 +119,6 @@
 	weights   []float64 // of the instances, summed up
 	watch     *observer
 	Result    Result
-	lastRoot  int
 }
 
 // Result is what a day came to.
@@ -140,6 +139,15 @@
 	Probes, Dials, Calls, CallsLost  int
 }
 
+// UsualModule is the module's configuration by which days are played, but for what Day says it is the day's.
+func UsualModule() policy.Config {
+	return policy.Config{
+		MayProbe: true, MayCancel: true, MayDuplicate: true, HintsRetry: true, MaxAttempts: 3, MaxRetryAfter: 1500 * time.Millisecond,
+		DialTimeout: 250 * time.Millisecond, ConnIdle: 5 * time.Second, Tick: time.Millisecond, AskEvery: 10 * time.Second,
+		AnswerGrace: 5 * time.Millisecond, ProbeTariff: 0.08, HandshakeTariff: 0.08, CrossZoneTariff: 0.03,
+	}
+}
+
 // New makes the world of a day.
 func New(day Day) (*World, error) {
 	switch {
@@ -242,9 +250,8 @@
 	}
 	c := &w.day.Classes[class]
 	at, _ := slices.BinarySearch(w.weights, w.rng.Float64()*w.weights[len(w.weights)-1])
-	w.lastRoot++
 	q := &root{
-		id: w.lastRoot, class: c, in: w.instances[min(at, len(w.instances)-1)], began: w.now, left: w.day.Clients.Retries,
+		class: c, in: w.instances[min(at, len(w.instances)-1)], began: w.now, left: w.day.Clients.Retries,
 		work: lognormal(w.rng, c.Work, c.CV), second: int(w.At() / time.Second),
 	}
 	s := &w.Result.Seconds[q.second]
@@ -260,7 +267,6 @@
 
 // root is a request of a client with all its tries.
 type root struct {
-	id     int
 	class  *Class
 	in     *instance
 	began  policy.Time
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -203,17 +203,15 @@
 		perSidecar := 100 * connSpend / b.cfg.ConnectionTariff * float64(len(pool)) / float64(b.cfg.GroupSize)
 		b.setSize = min(b.setSize, max(minReadySet, int(perSidecar)))
 	}
-	if b.cfg.GroupSize <= mostDealt && b.cfg.GroupSize*b.setSize >= stillSets*n {
-		near = b.deal(near)
-		b.setSize = len(near) // all but always as many as before
-		byHash(pool, uint64(b.cfg.Ordinal)<<32)
-		b.ready = append(near, slices.DeleteFunc(pool, func(s *server) bool { return slices.Contains(near, s) })...)
-		return
-	}
 	ordered := make([]*server, 0, len(pool))
-	step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, b.setSize-1))
-	for j := range b.setSize {
-		ordered = append(ordered, near[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
+	if b.cfg.GroupSize <= mostDealt && b.cfg.GroupSize*b.setSize >= stillSets*n {
+		ordered = b.deal(ordered, near)
+		b.setSize = len(ordered) // all but always as many as before
+	} else {
+		step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, b.setSize-1))
+		for j := range b.setSize {
+			ordered = append(ordered, near[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
+		}
 	}
 	byHash(pool, uint64(b.cfg.Ordinal)<<32)
 	for _, s := range pool {
@@ -225,12 +223,11 @@
 }
 
 // deal gives each sidecar its set in turn, as rendezvous hashing puts the servers, but none to many more than its part of the sets.
-func (b *Balancer) deal(near []*server) []*server {
+func (b *Balancer) deal(set, near []*server) []*server {
 	left := make(map[*server]int, len(near))
 	for _, s := range near {
 		left[s] = int(math.Ceil(dealtMore * float64(b.cfg.GroupSize*b.setSize) / float64(len(near))))
 	}
-	var set []*server
 	for o := range b.cfg.Ordinal + 1 {
 		byHash(near, uint64(o)<<32)
 		set = set[:0]
