Reckon in the network code how long an idle connection is worth holding

upstream.New reckons the same balance once, from the two tariffs, with the shortest aim for the delay that the module had learnt; the action HangUp, its timer and two fields of each server go. A pool hangs up at a server that drains as before.

--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -409,13 +409,6 @@
 	})
 }
 
-func (in *instance) HangUp(to policy.ServerID) {
-	if s := in.known[to]; s != nil {
-		s.conns -= in.idle[s]
-		delete(in.idle, s)
-	}
-}
-
 func (in *instance) Watch(on bool) {
 	if in.watcher != nil {
 		in.watcher.off = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -428,12 +428,6 @@
 	}
 }
 
-func (p *Pool) HangUp(server policy.ServerID) {
-	if to := p.peers[server]; to != nil {
-		p.up.HangUp(to)
-	}
-}
-
 func (p *Pool) Log(text string) { p.log.Info("policy: " + text) }
 
 func (p *Pool) SetTimer(after time.Duration, token string) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -119,11 +119,24 @@
 // New returns the connections of a pool that has the settings cfg.
 func New(cfg policy.Config, s Descriptors) *Conns {
 	return &Conns{
-		descriptors: s, dialTimeout: cfg.DialTimeout, idleFor: time.Duration(float64(cfg.ConnIdle) * idleShare),
+		descriptors: s, dialTimeout: cfg.DialTimeout, idleFor: idleTime(cfg),
 		inUse: map[*Peer]struct{}{}, dial: dialTCP,
 	}
 }
 
+// idleTime is how long a connection is kept idle. Where held ones have a price, one costs ConnectionTariff/100 of a server's share and
+// a handshake HandshakeTariff of a request's: they balance after 100 x HandshakeTariff/ConnectionTariff requests of a server, each
+// taken to hold it for no longer than the shortest aim.
+func idleTime(cfg policy.Config) time.Duration {
+	most := time.Duration(float64(cfg.ConnIdle) * idleShare)
+	for _, c := range cfg.Classes {
+		if cfg.ConnectionTariff > 0 {
+			most = min(most, time.Duration(100*cfg.HandshakeTariff/cfg.ConnectionTariff*float64(c.Aim)))
+		}
+	}
+	return most
+}
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1} // idle connections do not live long enough for it
 	return d.DialContext(ctx, "tcp", addr)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,6 +27,25 @@
 
 func (none) Scarce() bool { return true }
 
+// Where held connections have a price, one is let go once a new one is cheaper; never later than servers close them.
+func TestHeldConnectionsAreWeighed(t *testing.T) {
+	classes := []policy.Class{{Aim: time.Second}, {Aim: 200 * time.Millisecond}}
+	for name, c := range map[string]struct {
+		held, handshake float64
+		want            time.Duration
+	}{
+		"free":            {0, 0.05, 3 * time.Second},
+		"dear handshakes": {0.05, 5, 3 * time.Second},
+		"dear to hold":    {5, 0.05, 200 * time.Millisecond},
+		"free handshakes": {5, 0, 0},
+	} {
+		got := New(policy.Config{ConnIdle: 5 * time.Second, Classes: classes, ConnectionTariff: c.held, HandshakeTariff: c.handshake}, none{}).idleFor
+		if got != c.want {
+			t.Errorf("%s: held for %v, want %v", name, got, c.want)
+		}
+	}
+}
+
 // TestDescriptorShortageBlamesNobody guards against ejecting servers because this process has no descriptor left.
 func TestDescriptorShortageBlamesNobody(t *testing.T) {
 	up := New(policy.Config{DialTimeout: time.Second}, none{})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -308,8 +308,6 @@
 
 func (i *instance) Probe(s policy.ServerID) { i.add(order{Cmd: "Ping", Upstream: s}) }
 
-func (i *instance) HangUp(s policy.ServerID) { i.add(order{Cmd: "HangUp", Upstream: s}) }
-
 func (i *instance) Watch(on bool) { i.add(order{Cmd: "KeepInformed", Active: &on}) }
 
 func (i *instance) Log(text string) { i.add(order{Cmd: "JournalLine", Text: text}) }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -101,7 +101,6 @@
 	i.Cancel(5, 0)
 	i.SetTimer(0, "x")
 	i.Probe("10.0.0.1:80")
-	i.HangUp("10.0.0.1:80")
 	i.Watch(false)
 	i.Log("hello")
 	text, err := json.Marshal(i.orders)
@@ -111,7 +110,7 @@
 	want := `[{"cmd":"Route","Corr":5,"Upstream":"10.0.0.1:80","MaxWaitUs":80000},` +
 		`{"cmd":"OverloadReply","Corr":5,"StayAwayUs":1000000},{"cmd":"Lose","Corr":6},` +
 		`{"cmd":"DropAttempt","Corr":5,"Shot":0},{"cmd":"SetTimer","AfterUs":0,"Ctx":"x"},` +
-		`{"cmd":"Ping","Upstream":"10.0.0.1:80"},{"cmd":"HangUp","Upstream":"10.0.0.1:80"},` +
+		`{"cmd":"Ping","Upstream":"10.0.0.1:80"},` +
 		`{"cmd":"KeepInformed","Active":false},{"cmd":"JournalLine","Text":"hello"}]`
 	if string(text) != want {
 		t.Errorf("orders = %s\nwant     %s", text, want)
--- a/policy/api.go
+++ b/policy/api.go
@@ -226,8 +226,6 @@
 	SetTimer(after time.Duration, token string)
 	// Probe asks a server for a load report.
 	Probe(server ServerID)
-	// HangUp closes the idle connections to a server.
-	HangUp(server ServerID)
 	// Watch subscribes to the server list.
 	Watch(on bool)
 	// Log adds a line for staff.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -18,7 +18,6 @@
 func (printer) Cancel(id policy.RequestID, attempt int)     { fmt.Println("cancel", id, attempt) }
 func (printer) SetTimer(d time.Duration, token string)      {}
 func (printer) Probe(s policy.ServerID)                     { fmt.Println("probe", s) }
-func (printer) HangUp(s policy.ServerID)                    { fmt.Println("hang up", s) }
 func (printer) Watch(on bool)                               { fmt.Println("watch", on) }
 func (printer) Log(text string)                             { fmt.Println(text) }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -94,7 +94,6 @@
 
 	room       roomModel // whether the set had room for the requests of late
 	topWorth   float64   // highest worth of a class for each second of its aim
-	sweeping   bool      // a timer for sweep is out
 	watching   bool
 	watchFails int
 }
@@ -671,8 +670,6 @@
 			act.SetTimer(wait, hedgeToken+token(r.ID))
 		}
 	}
-	s.used, s.open = now, true
-	b.sweep(now, act)
 	act.Send(r.ID, s.ID, r.end-now)
 	return true
 }
@@ -695,27 +692,6 @@
 	b.send(now, r, idle, act)
 }
 
-// sweep hangs up connections that cost more to hold than to open anew. An open one costs
-// ConnectionTariff/100 of a server's share, a handshake HandshakeTariff of a request's: they balance
-// after 100 x HandshakeTariff/ConnectionTariff requests of a server, whose rate follows by Little's
-// law from the delay and the requests it holds, assumed to be half as many as cores while all are idle.
-func (b *Balancer) sweep(now Time, act Actions) {
-	served := 100 * b.cfg.HandshakeTariff / max(b.cfg.ConnectionTariff, 1e-9)
-	hold := time.Duration(served * b.delay.delay / (assumedCores * (0.5 + b.busy)))
-	left := false
-	for _, s := range b.ready {
-		if s.open && b.cfg.ConnectionTariff > 0 && now-s.used >= hold {
-			s.open = false
-			act.HangUp(s.ID)
-		}
-		left = left || s.open
-	}
-	if left && !b.sweeping && b.cfg.ConnectionTariff > 0 && hold > 0 {
-		b.sweeping = true
-		act.SetTimer(hold, "sweep")
-	}
-}
-
 // pick draws a marked server of set at random, or else a server uniformly: of those that would safely answer in time, or
 // else just so, if there are any, since a slow server that takes its even share collects an endless queue.
 func (b *Balancer) pick(now Time, r *request, set []*server) *server {
@@ -941,11 +917,6 @@
 		}
 		return
 	}
-	if tok == "sweep" {
-		b.sweeping = false
-		b.sweep(now, act)
-		return
-	}
 	digits, hedge := strings.CutPrefix(tok, hedgeToken)
 	id, _ := strconv.ParseUint(digits, 36, 64)
 	r := b.requests[RequestID(id)]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -22,7 +22,6 @@
 func (r *recorder) Cancel(id RequestID, attempt int)               { r.note("cancel %d %d", id, attempt) }
 func (r *recorder) SetTimer(d time.Duration, token string)         { r.note("timer %v %s", d, token) }
 func (r *recorder) Probe(s ServerID)                               { r.note("probe %s", s) }
-func (r *recorder) HangUp(s ServerID)                              { r.note("hangup %s", s) }
 func (r *recorder) Watch(on bool)                                  { r.note("watch %v", on) }
 func (r *recorder) Log(text string)                                { r.note("log %s", text) }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -156,13 +156,6 @@
 	c.probes = append(c.probes, s)
 }
 
-func (c *checker) HangUp(s ServerID) {
-	c.log = append(c.log, fmt.Sprint("hangup ", s))
-	if _, ok := c.servers[s]; !ok {
-		c.breach("hang-up of the unknown server %s", s)
-	}
-}
-
 func (c *checker) Watch(on bool)   { c.log = append(c.log, fmt.Sprint("watch ", on)) }
 func (c *checker) Log(text string) { c.log = append(c.log, "log "+text) }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -99,8 +99,6 @@
 	out      int     // own attempts that are out
 	probes   int     // that are out
 	asked    Time    // since when something is out without a word from it
-	used     Time    // the last send
-	open     bool    // a connection may be open
 	slowness float64 // smoothed: delay of its answers over that expected
 	answers  int     // that tell it, as far as they count
 	like     *machines
