End ejections with a probe; take a server that is nearly warm for one like others

An ejection ended by the clock (set, policy.go), so that of each sidecar a client's request found out whether it was over, after 0.5 s, one, two. Now the ejected server stays out until a probe is answered; the probe goes out with the first request after the time.

Servers warm up sooner than they must. From nearWarm = 0.7 on one is like others: marked, probed, taught of. The platform's cold servers fall over at 2.5 times what they can do; 1.75 times what it does warm is nowhere sent for a second.

Emulator: servers cut off that come back as they were, lost answers, reset requests; 300 instances before 200 servers.

Tests: TestEjectionEndsWithAProbe, TestNearlyWarmServerIsOneLikeOthers, TestFifthCutOff, seen to fail before.

--- a/internal/dayfile/dayfile.go
+++ b/internal/dayfile/dayfile.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -113,6 +114,22 @@
 	"zone-lost": func(f Fault) []emulator.Step {
 		return once(f, func(w *emulator.World) { w.Silence(func(_ int, zone string) bool { return zone == f.Zone }) })
 	},
+	"cut-off": func(f Fault) []emulator.Step { // a zone, or a share of the servers, and back after a while
+		back := f
+		back.At += f.Over
+		off := func(w *emulator.World) {
+			w.CutOff(func(place int, zone string) bool {
+				return f.Zone != "" && zone == f.Zone || f.Zone == "" && float64(place*7919%1000) < f.Share*1000
+			})
+		}
+		return append(once(f, off), once(back, (*emulator.World).Rejoin)...)
+	},
+	"lost-answers": func(f Fault) []emulator.Step {
+		return once(f, func(w *emulator.World) { w.LoseAnswers(f.Share) })
+	},
+	"resets": func(f Fault) []emulator.Step {
+		return once(f, func(w *emulator.World) { w.ResetRequests(f.Share) })
+	},
 	"zone-back": func(f Fault) []emulator.Step { return once(f, (*emulator.World).Return) },
 	"all-cold":  func(f Fault) []emulator.Step { return once(f, (*emulator.World).Chill) },
 	"fail-fast": func(f Fault) []emulator.Step {
@@ -273,7 +290,7 @@
 		at := fmt.Sprintf("faults[%d].", i+1)
 		steps, known := faults[x.Kind]
 		if !known {
-			bad(at+"kind", "is %q, none of all-cold, fail-fast, replace, restart, zone-back, zone-lost", x.Kind)
+			bad(at+"kind", "is %q, none of %s", x.Kind, strings.Join(slices.Sorted(maps.Keys(faults)), ", "))
 			continue
 		}
 		within(at+"servers", float64(x.Servers), 0, float64(f.Servers))
@@ -281,7 +298,7 @@
 		if x.At > f.Length {
 			bad(at+"at", "is %v, after the day's end", time.Duration(x.At))
 		}
-		if x.Kind == "zone-lost" && !slices.Contains(f.Zones, x.Zone) {
+		if (x.Kind == "zone-lost" || x.Kind == "cut-off" && x.Zone != "") && !slices.Contains(f.Zones, x.Zone) {
 			bad(at+"zone", "is %q, none of zones", x.Zone)
 		}
 		day.Steps = append(day.Steps, steps(x)...)
--- a/internal/dayfile/dayfile_test.go
+++ b/internal/dayfile/dayfile_test.go
@@ -21,6 +21,8 @@
 		"deadline": {"[[classes]]\nname = \"a\"\naim = \"2s\"\ndeadline = \"1s\"\nwork = \"1ms\"\n", "classes[1].deadline"},
 		"fault":    {"[[faults]]\nkind = \"flood\"\n", "faults[1].kind: is \"flood\""},
 		"zone":     {"[[faults]]\nkind = \"zone-lost\"\nzone = \"x\"\n", "faults[1].zone: is \"x\""},
+		"cut off":  {"[[faults]]\nkind = \"cut-off\"\nzone = \"x\"\n", "faults[1].zone: is \"x\""},
+		"cut":      {"[[faults]]\nkind = \"cut-off\"\nat = \"3s\"\nshare = 0.2\nover = \"6s\"\n[[faults]]\nkind = \"lost-answers\"\nshare = 0.01\n[[faults]]\nkind = \"resets\"\nshare = 0.01\n", ""},
 		"late":     {"[[faults]]\nkind = \"all-cold\"\nat = \"1m\"\n", "faults[1].at: is 1m0s, after the day's end"},
 	} {
 		_, err := Parse("d.toml", []byte(c.text))
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -186,6 +186,57 @@
 	}
 }
 
+// large is a day of 300 instances before 200 servers, with the same work for each server.
+func large(seed uint64) Day {
+	day := fleet()
+	day.Seed, day.Instances, day.Servers, day.Length = seed, 300, 200, 12*time.Second
+	day.Clients.Rate *= 200.0 / 60
+	day.Discovery.Calls = 200
+	return day
+}
+
+func aFifth(place int, _ string) bool { return place*7919%1000 < 200 }
+
+// A fifth of 200 servers is cut off for six seconds, the list tells of it only when it is over, and all the while answers get lost and
+// connections are reset. Seen to fail with ejections that a client's request has to end: 6 of 100 sends reach nobody.
+func TestFifthCutOff(t *testing.T) {
+	day := large(1)
+	day.Discovery.Notice = 5 * time.Second
+	day.Steps = []Step{
+		{0, func(w *World) { w.LoseAnswers(0.005); w.ResetRequests(0.005) }},
+		{3 * time.Second, func(w *World) { w.CutOff(aFifth) }},
+		{9 * time.Second, func(w *World) { w.Rejoin() }},
+	}
+	r := play(t, day)
+	s := r.Span(5, 8)
+	t.Logf("share %.3f, %d of %d sends reach nobody, %d time out, %d of %d tries refused", s.Share(), s.Unreached, s.Sends, s.TimedOut, s.Refused, s.Tries)
+	if s.Unreached > s.Sends*3/100 || s.Share() < 0.8 {
+		t.Errorf("%d of %d sends reach nobody from the second second on, share %.3f", s.Unreached, s.Sends, s.Share())
+	}
+	if s := r.Span(0, 3); s.Share() < 0.9 {
+		t.Errorf("share %.3f before", s.Share())
+	}
+}
+
+// Every tenth of 300 instances is restarted in turn while half of 200 servers are replaced.
+func TestRollingRestart(t *testing.T) {
+	day := large(1)
+	for i := range 100 {
+		day.Steps = append(day.Steps, Step{3*time.Second + time.Duration(i)*50*ms, func(w *World) { w.Replace(2*i, 2*time.Second) }})
+	}
+	for tenth := range 10 {
+		day.Steps = append(day.Steps, Step{2*time.Second + time.Duration(tenth)*800*ms, func(w *World) {
+			w.Restart(func(o int) bool { return o%10 == tenth }, 300*ms)
+		}})
+	}
+	r := play(t, day)
+	s := r.Span(4, 10)
+	t.Logf("share %.3f, %d of %d tries refused, %d late", s.Share(), s.Refused, s.Tries, s.Late)
+	if s.Share() < 0.8 || s.Cold == 0 {
+		t.Errorf("share %.3f, %d sends to cold servers", s.Share(), s.Cold)
+	}
+}
+
 // The rules are seen to break: the observer is no part of what it watches.
 func TestObserverSees(t *testing.T) {
 	w, err := New(fleet())
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -242,7 +242,7 @@
 	}
 	w.second().Dials++
 	switch way := in.way(s); {
-	case s.silent || s.fallen:
+	case s.silent || s.fallen || s.cut:
 		w.after(w.day.Module.DialTimeout, func() { then(false) })
 	case s.gone, w.day.MostConns > 0 && s.conns >= w.day.MostConns:
 		w.after(2*way, func() { then(false) })
@@ -289,6 +289,9 @@
 // back brings the answer to an attempt.
 func (a *attempt) back(w *World, st policy.Status) {
 	in := a.try.in
+	if st == policy.OK && w.lost > 0 && w.rng.Float64() < w.lost {
+		return
+	}
 	w.after(in.way(a.s), func() { in.settle(a, st) })
 }
 
@@ -343,6 +346,9 @@
 		default:
 			a.begun = true
 			in.w.after(in.way(s), func() { s.comes(in.w, a) })
+			if in.w.resets > 0 && in.w.rng.Float64() < in.w.resets {
+				in.w.after(2*in.way(s), func() { in.settle(a, policy.Reset) })
+			}
 		}
 	})
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -19,6 +19,7 @@
 	silent   bool    // nothing comes back, and nothing comes up
 	fails    float64 // share of requests that it answers with an error at once
 	fallen   bool    // pushed over while it was cold
+	cut      bool    // off from all instances; it works on, and nothing is heard of it
 
 	busy    int
 	waiting []*job
@@ -70,7 +71,7 @@
 }
 
 // dead reports whether nothing comes of what is sent to s.
-func (s *server) dead() bool { return s.gone || s.silent || s.fallen }
+func (s *server) dead() bool { return s.gone || s.silent || s.fallen || s.cut }
 
 // push notes work that has come to a cold server, and has it fall over where that is too much for too long. The largest piece is
 // left out: one heavy request is chance, which nobody who sends it could know.
@@ -117,7 +118,7 @@
 
 // work starts what may start. Neither a time-out nor a cancel stops what waits or runs.
 func (s *server) work(w *World) {
-	for s.busy < s.kind.Cores && len(s.waiting) > 0 && !s.dead() {
+	for s.busy < s.kind.Cores && len(s.waiting) > 0 && (s.cut || !s.dead()) {
 		j := s.waiting[0]
 		s.waiting = s.waiting[1:]
 		s.busy++
@@ -126,8 +127,8 @@
 			s.busy--
 			if !s.dead() {
 				j.a.back(w, policy.OK)
-				s.work(w)
 			}
+			s.work(w)
 		})
 	}
 	s.note(w)
@@ -210,6 +211,37 @@
 	}
 }
 
+// CutOff has nothing pass between all instances and the servers that match: connections stay open and silent, and none comes up. The
+// servers' processes run on; the list tells of them as of any change.
+func (w *World) CutOff(match func(place int, zone string) bool) {
+	for _, s := range w.servers {
+		if !s.dead() && match(s.addr, s.zone) {
+			s.cut = true
+			w.list.change(s, policy.Gone)
+		}
+	}
+}
+
+// Rejoin ends what CutOff began: connections from before are reset, and the servers are as warm as they were.
+func (w *World) Rejoin() {
+	for _, s := range w.servers {
+		if s.cut {
+			s.cut = false
+			w.list.change(s, policy.Ready)
+			for _, in := range w.instances {
+				s.conns -= in.idle[s]
+				in.reset(s)
+			}
+		}
+	}
+}
+
+// LoseAnswers has a share of the answers never arrive.
+func (w *World) LoseAnswers(share float64) { w.lost = share }
+
+// ResetRequests has a share of the attempts end with their connection reset after they have come; they run all the same.
+func (w *World) ResetRequests(share float64) { w.resets = share }
+
 // Fail makes a server answer a share of requests with an error at once.
 func (w *World) Fail(place int, share float64) {
 	for _, s := range w.servers {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -112,6 +112,8 @@
 	seq    uint64
 	rng    *rand.Rand // of what happens; each instance has its own
 	closed bool       // no more clients
+	lost   float64    // share of the answers that never arrive
+	resets float64    // share of the attempts whose connection is reset once they have come
 
 	servers   []*server
 	list      *list
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -43,6 +44,9 @@
 	firstEject = 500 * time.Millisecond
 	// coldMost bounds how much more than its part of an even load a cold server is sent.
 	coldMost = 1.4
+	// nearWarm is the least share of its capacity from which on a server is one like others: most are warm by then, and its queue
+	// tells. A cold one falls over at a multiple of what it can do (2.5 on the platform); none is sent 1.75 times what it does warm.
+	nearWarm = 0.7
 	// hedgeShare is the part of requests that may have a second copy sent while the first is out, and mostHedges how
 	// many of them may come at once. What the copies cost must stay small where all are slow.
 	hedgeShare = 0.03
@@ -158,7 +162,7 @@
 	} else if b.watching {
 		b.watchFails = 0
 	}
-	for _, id := range sortedKeys(b.requests) { // requests held for want of a server
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) { // requests held for want of a server
 		if r := b.requests[id]; !r.ended && len(r.attempts) == 0 && r.patience == 0 {
 			b.send(now, r, b.set(now), act)
 		}
@@ -181,7 +185,7 @@
 // they are dealt: by places, one server that goes moves half of all members, and everyone connects and learns anew at once.
 func (b *Balancer) rebuild() {
 	pool := b.ready[:0]
-	for _, id := range sortedKeys(b.servers) {
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
 		s.marked = s.marked && s.State == Ready
 		if s.State == Ready {
@@ -271,6 +275,11 @@
 	}
 	act.SetTimer(r.end-now, token(q.ID))
 	b.earn(refusedShare)
+	for _, s := range b.ready {
+		if s.ejected <= now && b.leftOut(now, s) && s.probes == 0 {
+			b.probe(now, s, act)
+		}
+	}
 	set := b.set(now)
 	if !b.cfg.MayProbe || b.credit < probeSample || len(set) == 0 {
 		// Work that nobody awaits any more keeps queues long for all.
@@ -310,13 +319,17 @@
 	b.credit -= probeSample
 	b.newRound = true
 	for _, s := range set {
-		s.ask(now)
-		s.probes++
-		act.Probe(s.ID)
+		b.probe(now, s, act)
 	}
 	return set
 }
 
+func (b *Balancer) probe(now Time, s *server, act Actions) {
+	s.ask(now)
+	s.probes++
+	act.Probe(s.ID)
+}
+
 // Probed takes the result of a probe.
 func (b *Balancer) Probed(now Time, p ProbeResult, act Actions) {
 	s := b.servers[p.Server]
@@ -331,7 +344,7 @@
 		b.replied(now, s, false, act)
 		return
 	}
-	s.fails, s.lastOK = 0, now
+	s.works(now, s.ejected == 0)
 	q := queueOf(p.Load)
 	if q < 0 {
 		b.replied(now, s, false, act)
@@ -387,7 +400,6 @@
 }
 
 // place sends r to a server of set, or refuses it if one drawn is full for it.
-//
 // Where this sidecar has seen lately that there is room, a full one is not drawn while there are others: what is refused
 // then is in time there. Under a true shortage such picks would only fill what is left, and the refusals are right, but for
 // what is worth most: what is left is for that.
@@ -426,7 +438,7 @@
 	own := known && o.Status == Timeout && r.attempts[o.Attempt].ownFault(now)
 	if s := b.servers[o.Server]; s != nil {
 		if o.Status == OK {
-			s.fails, s.lastOK = 0, now
+			s.works(now, true)
 		} else if !own {
 			b.failed(now, s, o.Status, b.silent(now, s))
 		}
@@ -502,12 +514,10 @@
 // one: where some servers swallow requests, copies go on for as long as they win, and where all are slow alike, so that
 // the first answers first, they stay within their share of the traffic.
 func (b *Balancer) copied(won bool) {
-	win := 0.0
+	b.copyWins *= 1 - smooth
 	if won {
-		win = 1
+		b.hedges, b.copyWins = min(b.hedges+1, mostHedges), b.copyWins+smooth
 	}
-	b.hedges = min(b.hedges+win, mostHedges)
-	b.copyWins += smooth * (win - b.copyWins)
 }
 
 // failed notes evidence against a server: it is left out of the ready set for a while that grows
@@ -522,12 +532,24 @@
 		s.queue = math.Inf(1) // until it reports again
 	}
 	s.fails, b.busy = s.fails+1, 1
-	if st == Full || st == Timeout && !silent && (s.fails < 3 || now-s.lastOK < time.Second) {
+	if s.ejected == 0 && (st == Full || st == Timeout && !silent && (s.fails < 3 || now-s.lastOK < time.Second)) {
 		return // may be the load: see set
 	}
 	s.ejected = now + min(firstEject<<min(s.fails-1, 10), max(b.cfg.Ramp, firstEject))
 }
 
+// works notes that s has answered. That ends an ejection whose time is over, and no other: what was out there before tells little.
+// That it fails no more is told by answers to requests alone, since a probe may well succeed where those fail.
+func (s *server) works(now Time, sure bool) {
+	if sure {
+		s.fails = 0
+	}
+	if s.ejected <= now {
+		s.ejected = 0
+	}
+	s.lastOK = now
+}
+
 // silent reports whether s has said nothing at all for so long, while something of this sidecar's was out there, that it
 // should be left alone until it does. It guards against machines that vanish, are cut off or stand still: their
 // connections stay open, and the list tells of them only much later. One thing out is not enough, as it may just be slow.
@@ -540,17 +562,12 @@
 // against servers, and ejections are ignored.
 func (b *Balancer) set(now Time) []*server {
 	set := make([]*server, 0, b.setSize)
-	bad := 0
 	for _, s := range b.ready {
-		if s.ejected > now {
-			bad++
-		} else if b.silent(now, s) {
-			continue
-		} else if len(set) < b.setSize && b.warmth(now, s) == 1 {
+		if len(set) < b.setSize && !b.leftOut(now, s) && !b.silent(now, s) && b.warmth(now, s) == 1 {
 			set = append(set, s)
 		}
 	}
-	if 2*bad > len(b.ready) || len(set) == 0 {
+	if len(set) == 0 || 2*b.countLeftOut(now) > len(b.ready) {
 		set = append(set[:0], b.ready[:b.setSize]...)
 	}
 	return set
@@ -592,18 +609,26 @@
 	}
 }
 
-// Avoided is how many servers that the list names ready are left out after failures, for operators to see. One that is silent
-// for the moment is not: it is asked again with its next word.
+// Avoided is how many servers that the list names ready are left out after failures; one that is silent for the moment is not.
 func (b *Balancer) Avoided(now Time) int {
-	bad := 0
+	if bad := b.countLeftOut(now); 2*bad <= len(b.ready) { // see set
+		return bad
+	}
+	return 0
+}
+
+// leftOut reports whether s is left out after failures: for a time, and where probes are to be had until it has answered one. Else
+// clients' requests would find out whether it is over, of each sidecar one after each time.
+func (b *Balancer) leftOut(now Time, s *server) bool {
+	return s.ejected > now || s.ejected > 0 && b.cfg.MayProbe
+}
+
+func (b *Balancer) countLeftOut(now Time) (bad int) {
 	for _, s := range b.ready {
-		if s.ejected > now {
+		if b.leftOut(now, s) {
 			bad++
 		}
 	}
-	if 2*bad > len(b.ready) { // see set
-		return 0
-	}
 	return bad
 }
 
@@ -618,7 +643,7 @@
 func (b *Balancer) coldTurn(now Time) *server {
 	s := b.ready[b.rng.IntN(b.setSize)]
 	w := b.warmth(now, s)
-	if w == 1 || s.ejected > now || b.silent(now, s) || s.queue >= 1 {
+	if w == 1 || b.leftOut(now, s) || b.silent(now, s) || s.queue >= 1 {
 		return nil
 	}
 	able, warm := 0.0, 0 // of what all could do warm
@@ -733,8 +758,7 @@
 }
 
 // share is the part that s, which is cold, gets where no warm one is to be had: its least capacity, less where its kind is slow. With
-// the same part for all, 80 sidecars before servers that were all cold pushed the smallest over. Beside warm ones coldTurn is
-// less than that, and spared slow kinds for nothing.
+// the same part for all, 80 sidecars before servers that were all cold pushed the smallest over.
 func (b *Balancer) share(now Time, s *server) float64 {
 	return b.warmth(now, s) / max(s.like.slowness, 1)
 }
@@ -791,12 +815,13 @@
 	return s.queue + float64(s.out)
 }
 
-// warmth is the least share of its capacity that s has at now.
+// warmth is the least share of its capacity that s has at now, or 1 from nearWarm on.
 func (b *Balancer) warmth(now Time, s *server) float64 {
-	if s.Started == 0 || now-s.Started >= b.cfg.Ramp {
+	w := b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(max(0, now-s.Started))/float64(max(b.cfg.Ramp, 1))
+	if s.Started == 0 || w >= nearWarm {
 		return 1
 	}
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*float64(max(0, now-s.Started))/float64(b.cfg.Ramp)
+	return w
 }
 
 // maySend is the one judge of whether the rules allow an attempt of r at s.
@@ -832,10 +857,8 @@
 	b.cancelAll(r, act)
 	r.ended = true
 	r.class.owe(r)
-	if r.patience > 0 {
-		r.patience = 0
-		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
-	}
+	r.patience = 0
+	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 	if retry && mayRefuse(r) {
 		act.Refuse(r.ID, b.comeBack(now, r))
 	} else {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -127,7 +128,7 @@
 		r := &request{Request: Request{Expires: time.Second}, class: c}
 		r.attempts = []attempt{{server: s, zone: s.Zone, cell: s.Cell, notRun: tt.first.NotRun()}}
 		var again []ServerID
-		for _, id := range sortedKeys(b.servers) {
+		for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 			if b.maySend(0, r, b.servers[id]) {
 				again = append(again, id)
 			}
@@ -212,10 +213,12 @@
 	if s.marked || slices.Contains(b.set(0), s) {
 		t.Error("a server that erred is still marked or in the ready set")
 	}
+	b.cfg.MayProbe = false
 	if !slices.Contains(b.set(firstEject), s) {
 		t.Error("the ejection does not end")
 	}
-	for _, id := range sortedKeys(b.servers) {
+	b.cfg.MayProbe = true
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		b.failed(0, b.servers[id], ConnectFailed, false)
 	}
 	if got := b.set(0); len(got) != b.setSize {
@@ -224,6 +227,74 @@
 	rec.take("")
 }
 
+// Where probes are to be had one of them finds out whether an ejection is over, and no client's request does. Seen to fail where the
+// time alone ended it: each sidecar's requests found a dead server out after half a second, one, two, and so on.
+func TestEjectionEndsWithAProbe(t *testing.T) {
+	b, rec := start(t, testConfig(), 4)
+	now := Time(time.Hour)
+	s := b.ready[0]
+	b.failed(now, s, ConnectFailed, false)
+	b.credit = -1000 // no rounds
+	id := RequestID(0)
+	ask := func() (sent, probes int) {
+		id++
+		b.Request(now, Request{ID: id, Class: "safe", Expires: now + time.Second}, rec)
+		for _, l := range rec.take("") {
+			if l == fmt.Sprintf("send %d %s", id, s.ID) {
+				sent++
+			}
+			if l == fmt.Sprintf("probe %s", s.ID) {
+				probes++
+			}
+		}
+		return sent, probes
+	}
+	if sent, probes := ask(); sent+probes > 0 {
+		t.Errorf("%d sends and %d probes before the time is over", sent, probes)
+	}
+	for round := range 3 {
+		now = s.ejected
+		asked := 0
+		for range 20 {
+			sent, probes := ask()
+			if asked += probes; sent > 0 {
+				t.Fatalf("round %d: a client's request finds out whether the server is back", round)
+			}
+		}
+		if asked != 1 {
+			t.Fatalf("round %d: %d probes instead of one", round, asked)
+		}
+		b.Probed(now, ProbeResult{Server: s.ID, Status: Timeout}, rec)
+		if want := now + firstEject<<(round+1); s.ejected != want {
+			t.Errorf("round %d: left out until %v, want %v", round, s.ejected, want)
+		}
+	}
+	now = s.ejected
+	ask()
+	fails := s.fails
+	b.Probed(now, ProbeResult{Server: s.ID, Load: &Load{}}, rec)
+	if !slices.Contains(b.set(now), s) || b.Avoided(now) != 0 {
+		t.Error("left out although it has answered a probe")
+	}
+	if s.fails != fails {
+		t.Error("a probe alone has its failures forgotten: a server that fails each request would be met twice as often")
+	}
+}
+
+// A server is one like others before the last moment at which it must be warm, and not in its first seconds. Seen to fail: while
+// most were replaced, what the few old ones had no room for was refused, and new ones answered sooner than those.
+func TestNearlyWarmServerIsOneLikeOthers(t *testing.T) {
+	cfg := testConfig()
+	b, rec := start(t, cfg, 2)
+	now := Time(time.Hour)
+	b.Members(now, ListDelta, []Server{{ID: "new", Started: now}}, rec)
+	for at, want := range map[time.Duration]bool{0: false, cfg.Ramp / 2: false, cfg.Ramp * 3 / 5: true, cfg.Ramp: true} {
+		if got := slices.Contains(b.set(now+at), b.servers["new"]); got != want {
+			t.Errorf("%v after its start: in the set %v, want %v", at, got, want)
+		}
+	}
+}
+
 // TestSilentServer guards against sending to a machine that has vanished: nothing ends the attempts there until their
 // time is up, and the list tells of it much later.
 func TestSilentServer(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -313,12 +313,3 @@
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	return x ^ x>>31
 }
-
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
