--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -258,6 +258,9 @@
 		return
 	}
 	a.done = true
+	if in.w.settled != nil {
+		in.w.settled(a, st)
+	}
 	switch st {
 	case policy.ConnectFailed:
 		in.w.second().Unreached++
@@ -336,6 +339,9 @@
 	if s.warmth(in.w) < 1 {
 		sec.Cold++
 	}
+	if s.zone != in.zone {
+		sec.Crossed++
+	}
 	in.w.after(timeout, func() { in.settle(a, policy.Timeout) })
 	in.connect(s, func(up bool) {
 		switch {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -35,12 +35,13 @@
 
 // Clients is how clients behave.
 type Clients struct {
-	Rate     float64       // requests a second, of all; a retry is none
-	Spread   float64       // of the instances' rates: a request's instance is drawn by weights 1 to 1+Spread
-	Retries  int           // of one request
-	Pause    time.Duration // before a retry, where nothing is told
-	TryShare float64       // of the deadline that clients give a try
-	Heed     bool          // Retry-After is heeded
+	Rate     float64                                // requests a second, of all; a retry is none
+	Spread   float64                                // of the instances' rates: a request's instance is drawn by weights 1 to 1+Spread
+	Weight   func(ordinal int, zone string) float64 // the weights, where it is set
+	Retries  int                                    // of one request
+	Pause    time.Duration                          // before a retry, where nothing is told
+	TryShare float64                                // of the deadline that clients give a try
+	Heed     bool                                   // Retry-After is heeded
 }
 
 // Discovery is the service of the list.
@@ -120,6 +121,7 @@
 	instances []*instance
 	weights   []float64 // of the instances, summed up
 	watch     *observer
+	settled   func(*attempt, policy.Status) // where it is set, told the end of each attempt
 	Result    Result
 }
 
@@ -136,7 +138,7 @@
 	Requests, InAim, Late, Unserved  int // by the second in which the request was first asked
 	Tries, Refused, Failed           int // by that in which it happened, as the rest
 	Worth, Served                    float64
-	Sends, Cold, Again               int
+	Sends, Cold, Again, Crossed      int // Crossed: to another zone
 	Unreached, TimedOut, Erred, Full int
 	Probes, Dials, Calls, CallsLost  int
 }
@@ -172,7 +174,11 @@
 			return nil, err
 		}
 		w.instances = append(w.instances, in)
-		weight += 1 + day.Clients.Spread*float64(i%10)/9
+		if of := day.Clients.Weight; of != nil {
+			weight += of(i, in.zone)
+		} else {
+			weight += 1 + day.Clients.Spread*float64(i%10)/9
+		}
 		w.weights = append(w.weights, weight)
 	}
 	return w, nil
@@ -208,9 +214,7 @@
 	}
 	end := origin + w.day.Length + longest + 2*time.Second
 	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+		w.step()
 	}
 	w.watch.close()
 	for _, s := range w.Result.Seconds {
@@ -219,11 +223,19 @@
 	return &w.Result
 }
 
+// step does what is due next.
+func (w *World) step() {
+	e := heap.Pop(&w.queue).(event)
+	w.now = e.at
+	e.do()
+}
+
 // Add adds another Second.
 func (s *Second) Add(o Second) {
 	s.Requests, s.InAim, s.Late, s.Unserved = s.Requests+o.Requests, s.InAim+o.InAim, s.Late+o.Late, s.Unserved+o.Unserved
 	s.Tries, s.Refused, s.Failed, s.Worth, s.Served = s.Tries+o.Tries, s.Refused+o.Refused, s.Failed+o.Failed, s.Worth+o.Worth, s.Served+o.Served
-	s.Sends, s.Cold, s.Again, s.Unreached, s.TimedOut = s.Sends+o.Sends, s.Cold+o.Cold, s.Again+o.Again, s.Unreached+o.Unreached, s.TimedOut+o.TimedOut
+	s.Sends, s.Cold, s.Again, s.Crossed = s.Sends+o.Sends, s.Cold+o.Cold, s.Again+o.Again, s.Crossed+o.Crossed
+	s.Unreached, s.TimedOut = s.Unreached+o.Unreached, s.TimedOut+o.TimedOut
 	s.Erred, s.Full, s.Probes, s.Dials, s.Calls, s.CallsLost = s.Erred+o.Erred, s.Full+o.Full, s.Probes+o.Probes, s.Dials+o.Dials, s.Calls+o.Calls, s.CallsLost+o.CallsLost
 }
 
