Choose mostly among the own zone's servers where leaving it has a price

Beside it, by places (more than 200 sidecars) servers were in 2 to 17 of 300 sets: the steps of neighbours met.

A set now has homeMore = 2.4 times its part of the own zone, all but one at most: four of five from a third of the servers on, two where the zone has a fifth of them, so that a small zone is not crowded by its own sidecars. The rest comes from the other zones, each from a list of its own; servers are in 4 to 10 of 300 sets. Marks, threshold and draws within a set are as before, and so are sites that put no price on it.

Test: TestSetsHoldMoreOfTheOwnZone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,9 @@
 	refusedShare = 0.4
 	// connSpend is what held connections may cost in points; with the tariff it sizes the ready set.
 	connSpend = 0.02
+	// homeMore is how many times its part of the set the own zone has where leaving it has a price, up to all but one. Queues even
+	// out what is left uneven; a zone with few servers must not be crowded by its own sidecars.
+	homeMore = 2.4
 	// stillSets is in how many sets a server must be for these to be dealt, dealtMore how many times its part it may be in, and
 	// mostDealt the most sidecars for which that is worth the work.
 	stillSets = 5
@@ -88,8 +91,8 @@
 	markLife  time.Duration // marks older than this have gone stale
 	busy      float64       // share of probes that found a request waiting
 	credit    float64       // probes that the traffic so far has paid for
-	came      Time          // the latest request
-	every     time.Duration // smoothed: from one request to the next
+	came      Time          // the latest request that was sent on
+	every     time.Duration // smoothed: from one to the next
 	hedges    float64       // second copies that the traffic so far, and copies that answered first, have paid for
 	copyWins  float64       // smoothed: share of second copies that answered first
 
@@ -193,29 +196,24 @@
 		}
 	}
 	byHash(pool, 0)
-	// Where leaving the zone costs more than the probes to find a server there, the set is of the own zone.
-	abroad := func(s *server) bool { return s.Zone != b.cfg.Zone }
+	// Where leaving the zone has a price, the set holds more of the own zone than its part, and nothing else where it costs more than
+	// the probes to find a server there.
+	abroad := func(s *server) bool { return s.Zone != b.cfg.Zone && b.cfg.CrossZoneTariff > 0 }
 	near := slices.DeleteFunc(slices.Clone(pool), abroad)
+	far := slices.DeleteFunc(slices.Clone(pool), func(s *server) bool { return !abroad(s) })
 	b.zonal = len(near) >= minReadySet && b.cfg.CrossZoneTariff > probeSample*b.cfg.ProbeTariff
-	if !b.zonal {
-		near = slices.Clone(pool)
+	if b.zonal {
+		far = nil
 	}
-	n := len(near)
-	b.setSize = min(n, maxReadySet)
+	b.setSize = min(len(near)+len(far), maxReadySet)
 	if b.cfg.ConnectionTariff > 0 {
 		perSidecar := 100 * connSpend / b.cfg.ConnectionTariff * float64(len(pool)) / float64(b.cfg.GroupSize)
 		b.setSize = min(b.setSize, max(minReadySet, int(perSidecar)))
 	}
-	ordered := make([]*server, 0, len(pool))
-	if b.cfg.GroupSize <= mostDealt && b.cfg.GroupSize*b.setSize >= stillSets*n {
-		ordered = b.deal(ordered, near)
-		b.setSize = len(ordered) // all but always as many as before
-	} else {
-		step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, b.setSize-1))
-		for j := range b.setSize {
-			ordered = append(ordered, near[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
-		}
-	}
+	home := int(math.Round(homeMore * float64(b.setSize*len(near)) / float64(max(1, len(near)+len(far)))))
+	home = max(b.setSize-len(far), min(home, b.setSize-1, len(near)))
+	ordered := b.draw(b.draw(nil, near, home), far, b.setSize-home)
+	b.setSize = len(ordered) // all but always as many as before
 	byHash(pool, uint64(b.cfg.Ordinal)<<32)
 	for _, s := range pool {
 		if !slices.Contains(ordered[:b.setSize], s) {
@@ -225,17 +223,26 @@
 	b.ready = ordered
 }
 
-// deal gives each sidecar its set in turn, as rendezvous hashing puts the servers, but none to many more than its part of the sets.
-func (b *Balancer) deal(set, near []*server) []*server {
-	left := make(map[*server]int, len(near))
-	for _, s := range near {
-		left[s] = int(math.Ceil(dealtMore * float64(b.cfg.GroupSize*b.setSize) / float64(len(near))))
+// draw adds k servers of list to set. A deal gives each sidecar its part in turn, as rendezvous hashing puts the servers, but none to
+// many more than its part of the sets. Else they are by places.
+func (b *Balancer) draw(set, list []*server, k int) []*server {
+	n, before := len(list), len(set)
+	if b.cfg.GroupSize > mostDealt || b.cfg.GroupSize*k < stillSets*n {
+		step := 1 + b.cfg.Ordinal%max(1, (n-1)/max(1, k-1))
+		for j := range k {
+			set = append(set, list[(b.cfg.Ordinal*n/b.cfg.GroupSize+j*step)%n])
+		}
+		return set
+	}
+	left := make(map[*server]int, n)
+	for _, s := range list {
+		left[s] = int(math.Ceil(dealtMore * float64(b.cfg.GroupSize*k) / float64(n)))
 	}
 	for o := range b.cfg.Ordinal + 1 {
-		byHash(near, uint64(o)<<32)
-		set = set[:0]
-		for _, s := range near {
-			if len(set) < b.setSize && left[s] > 0 {
+		byHash(list, uint64(o)<<32)
+		set = set[:before]
+		for _, s := range list {
+			if len(set) < before+k && left[s] > 0 {
 				left[s]--
 				set = append(set, s)
 			}
--- a/policy/sets_test.go
+++ b/policy/sets_test.go
@@ -68,3 +68,53 @@
 		}
 	}
 }
+
+// Where leaving the zone has a price most of a set is of the own zone, servers are in about equally many sets all the same, and a small
+// zone is not crowded. Seen to fail with sets that ignore zones: half of each is abroad.
+func TestSetsHoldMoreOfTheOwnZone(t *testing.T) {
+	for name, c := range map[string]struct {
+		sidecars, servers, inA int // of the servers
+		least, most            float64
+	}{
+		"dealt":      {80, 60, 30, 0.75, 0.85},
+		"by places":  {300, 200, 100, 0.75, 0.85},
+		"small zone": {300, 200, 40, 0.1, 0.45},
+		"a third":    {300, 200, 66, 0.75, 0.85},
+	} {
+		var list []Server
+		for i := range c.servers {
+			list = append(list, Server{ID: ServerID(fmt.Sprint("s", i)), Zone: map[bool]string{true: "a", false: "b"}[i < c.inA]})
+		}
+		met, own, members := map[ServerID]int{}, 0, 0
+		for o := range c.sidecars {
+			cfg := testConfig()
+			cfg.Ordinal, cfg.GroupSize, cfg.CrossZoneTariff, cfg.Zone = o, c.sidecars, 0.015, string(rune('a'+o%2))
+			b, err := New(cfg, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Members(0, ListFull, list, &recorder{})
+			for _, s := range b.ready[:b.setSize] {
+				met[s.ID]++
+				if cfg.Zone == "a" {
+					members++
+					if s.Zone == "a" {
+						own++
+					}
+				}
+			}
+		}
+		most, least := 0, c.sidecars
+		for _, s := range list {
+			most, least = max(most, met[s.ID]), min(least, met[s.ID])
+		}
+		share := float64(own) / float64(members)
+		t.Logf("%s: %.2f of the members of sidecars in zone a are there; servers are in %d to %d sets", name, share, least, most)
+		if share < c.least || share > c.most {
+			t.Errorf("%s: %.2f of the members are of the own zone, want %.2f to %.2f", name, share, c.least, c.most)
+		}
+		if mean := c.sidecars * maxReadySet / c.servers; least == 0 || most > 2*mean+1 {
+			t.Errorf("%s: servers are in %d to %d sets, in the mean in %d", name, least, most, mean)
+		}
+	}
+}
