--- a/internal/emulator/cases_test.go
+++ b/internal/emulator/cases_test.go
@@ -64,6 +64,7 @@
 // A sidecar with three requests a second, and one with sixty, have a server in their set that is cut off. What each loses to it is
 // bounded by requests, not by time. Seen to fail where the clock ended ejections (2 and 8 sends lost).
 func TestDeadServerInASet(t *testing.T) {
+	t.Parallel()
 	for rate, most := range map[float64]int{3: 1, 60: 4} {
 		day := one(rate)
 		dead := ownSet(t, day, 1)[0]
@@ -90,6 +91,7 @@
 // All servers of a sidecar's set fall silent: others take their place within three seconds. Seen to fail where the clock ended ejections (10 of
 // 152 sends lost from then on).
 func TestWholeSetSilent(t *testing.T) {
+	t.Parallel()
 	day := one(20)
 	set := ownSet(t, day, 5)
 	day.Discovery.Notice = time.Minute
@@ -116,6 +118,7 @@
 
 // All sidecars refuse at once, and their clients come back three times without a pause: once the shock is over service is back.
 func TestRefusedClientsComeBack(t *testing.T) {
+	t.Parallel()
 	day := fleet()
 	day.Clients.Pause, day.Clients.Heed, day.Length = 0, false, 18*time.Second
 	day.Steps = []Step{
@@ -135,6 +138,7 @@
 
 // A zone has a third of the load and half of the servers: the other's overflow goes there.
 func TestZonesOfUnevenLoad(t *testing.T) {
+	t.Parallel()
 	day := fleet()
 	day.Clients.Weight = func(_ int, zone string) float64 {
 		if zone == "a" {
@@ -150,6 +154,7 @@
 
 // Each server answers one request in eight with an error at once: it is no reason to leave all of them out.
 func TestOneInEightErrs(t *testing.T) {
+	t.Parallel()
 	day := fleet()
 	day.Steps = []Step{{0, func(w *World) {
 		for place := range day.Servers {
@@ -164,6 +169,7 @@
 
 // 300 sidecars start within 100 ms before 200 servers.
 func TestManyStartAtOnce(t *testing.T) {
+	t.Parallel()
 	day := large(1)
 	day.Length = 6 * time.Second
 	r := play(t, day)
