--- a/policy/policy.go
+++ b/policy/policy.go
@@ -91,8 +91,8 @@
 	markLife  time.Duration // marks older than this have gone stale
 	busy      float64       // share of probes that found a request waiting
 	credit    float64       // probes that the traffic so far has paid for
-	came      Time          // the latest request that was sent on
-	every     time.Duration // smoothed: from one to the next
+	came      Time          // the latest request
+	every     time.Duration // smoothed: from one request to the next
 	hedges    float64       // second copies that the traffic so far, and copies that answered first, have paid for
 	copyWins  float64       // smoothed: share of second copies that answered first
 
@@ -282,7 +282,7 @@
 	}
 	act.SetTimer(r.end-now, token(q.ID))
 	b.earn(refusedShare)
-	for _, s := range b.ready {
+	for _, s := range b.ready { // those whose ejection would be over by the clock are asked whether it is
 		if s.ejected <= now && b.leftOut(now, s) && s.probes == 0 {
 			b.probe(now, s, act)
 		}
