--- a/internal/emulator/cases_test.go
+++ b/internal/emulator/cases_test.go
@@ -32,29 +32,20 @@
 	w.closed = true
 	in := w.instances[0]
 	in.start()
-	met := map[int]int{}
 	q := &root{class: &day.Classes[0], in: in, work: time.Microsecond}
 	for range 60 {
 		in.take(q, time.Second)
-		for len(w.queue) > 0 {
-			e := w.queue[0]
-			if e.at > w.now+100*ms {
-				break
-			}
+		for len(w.queue) > 0 && w.queue[0].at <= w.now+100*ms {
 			w.step()
 		}
 		w.now += 100 * ms
 	}
+	var all []int
 	for place, s := range w.servers {
 		if in.idle[s] > 0 {
-			met[place] = in.idle[s]
+			all = append(all, place)
 		}
 	}
-	var all []int
-	for place := range met {
-		all = append(all, place)
-	}
-	slices.Sort(all)
 	if len(all) < n {
 		t.Fatalf("the instance has met %v, fewer than %d", all, n)
 	}
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -55,6 +55,9 @@
 	if s := r.Span(2, 20); s.Share() < 0.93 || s.Probes > s.Tries {
 		t.Errorf("share %.3f, %+v", s.Share(), s)
 	}
+	if s := r.Span(2, 20); s.Crossed > s.Sends*3/10 { // half, where sets ignore zones
+		t.Errorf("%d of %d sends leave the zone", s.Crossed, s.Sends)
+	}
 }
 
 func TestSameSeedSameRun(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -864,8 +864,10 @@
 	b.cancelAll(r, act)
 	r.ended = true
 	r.class.owe(r)
-	r.patience = 0
-	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	if r.patience > 0 {
+		r.patience = 0
+		b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
+	}
 	if retry && mayRefuse(r) {
 		act.Refuse(r.ID, b.comeBack(now, r))
 	} else {
