Processes of a fleet know each other: links, the council on disk, tasks sent once for all

Need: the cores of leases, tasks and the council had no process to run in. internal/tier is their host: authenticated links of frames that may be lost, doubled or overtake each other, a store in bbolt whose identity belongs to the disk, a clock that counts suspended time, tasks sent through gateway.Do and the one decision module; [tier] and [[tasks]] in the operator's file; 'sorrelrudder tier'.

Background work is refused while clients take half of what is kept for the pool (share.Crowded).

--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -23,6 +23,7 @@
 	"sorrelrudder/internal/h2"
 	"sorrelrudder/internal/lab"
 	"sorrelrudder/internal/opfile"
+	"sorrelrudder/internal/tier"
 	"sorrelrudder/internal/tlsfiles"
 )
 
@@ -38,6 +39,7 @@
 	Route   routeCmd   `cmd:"" help:"Tell which route and class of an operator's file take a request."`
 	Fleet   fleetCmd   `cmd:"" help:"Count over a fleet what its processes tell in their logs (figures_every, GW_FIGURES_EVERY)."`
 	Emulate emulateCmd `cmd:"" help:"Play a day's file in virtual time with several seeds; exit 1 if a rule was broken."`
+	Tier    tierCmd    `cmd:"" help:"Found a fleet; ask a running process of its council, leases and tasks, and change them."`
 	Lab     labCmd     `cmd:"" help:"Play a scenario on loopback against stand-ins and check the four rules; exit 1 if one broke or a bound was missed."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Proxy   proxyCmd   `cmd:"" hidden:"" help:"The plain reverse proxy that 'lab cost' compares with."`
@@ -114,17 +116,48 @@
 	if err != nil {
 		return err
 	}
+	running := ctx
+	if f.Tier != nil {
+		t, err := startTier(*f.Tier, g, log)
+		if err != nil {
+			g.Close()
+			return err
+		}
+		defer t.Close()
+		// What this process holds is given up before it takes no more requests: tasks that are out end first.
+		left, end := context.WithCancel(context.Background())
+		defer end()
+		running = left
+		go func() {
+			<-ctx.Done()
+			t.Leave()
+			end()
+		}()
+	}
 	followed := make(chan struct{})
 	go func() {
 		defer close(followed)
-		follow(ctx, reload, c.File, f.Bridge, g, log)
+		follow(ctx, reload, c.File, f, g, log)
 	}()
-	err = g.Run(ctx)
+	err = g.Run(running)
 	stop()
 	<-followed
 	return err
 }
 
+// startTier has the process take part in its fleet.
+func startTier(cfg tier.Config, g *gateway.Gateway, log *slog.Logger) (*tier.Tier, error) {
+	t, err := tier.New(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.Start(g); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
 // start makes the process of a file, and opens its listeners and links.
 func start(f *opfile.File, log *slog.Logger) (*gateway.Gateway, error) {
 	speech := gateway.Speech{Streams: h2.Protocol{Log: log}, Secure: secureWith(log)}
@@ -181,7 +214,7 @@
 }
 
 // follow reads the file again at each signal until ctx ends. One that cannot be used leaves the present one in force.
-func follow(ctx context.Context, reload <-chan os.Signal, file string, sites *bridge.Config, g *gateway.Gateway, log *slog.Logger) {
+func follow(ctx context.Context, reload <-chan os.Signal, file string, first *opfile.File, g *gateway.Gateway, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -192,9 +225,12 @@
 		if err == nil {
 			err = g.Apply(f.Gateway)
 		}
-		if err == nil && !reflect.DeepEqual(f.Bridge, sites) {
+		if err == nil && !reflect.DeepEqual(f.Bridge, first.Bridge) {
 			log.Warn("what the file says of sites, peers and spilling has changed, and waits for the next start")
 		}
+		if err == nil && !reflect.DeepEqual(f.Tier, first.Tier) {
+			log.Warn("what the file says of the tier and its tasks has changed, and waits for the next start")
+		}
 		if err != nil {
 			log.Error("reload: the running configuration stays in force", "err", err)
 			continue
--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -138,6 +138,7 @@
 	"internal/task":      {},
 	"internal/council":   {"internal/lease", "internal/task"},
 	"internal/explore":   {"internal/council", "internal/lease", "internal/task"},
+	"internal/tier":      {"internal/council", "internal/lease", "internal/message", "internal/task"},
 	"internal/admin":     {"internal/figures"},
 	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
 	"internal/keep":      {},
@@ -152,14 +153,14 @@
 		"policy", "internal/front", "internal/gateway", "internal/hop", "internal/message", "internal/pool", "internal/settings", "internal/source",
 		"internal/spill", "internal/upstream",
 	},
-	"internal/opfile":  {"internal/tlsfiles", "policy", "internal/classify", "internal/plain", "internal/bridge", "internal/spill", "internal/gateway", "internal/message", "internal/route", "internal/source"},
+	"internal/opfile":  {"internal/council", "internal/lease", "internal/task", "internal/tier", "internal/tlsfiles", "policy", "internal/classify", "internal/plain", "internal/bridge", "internal/spill", "internal/gateway", "internal/message", "internal/route", "internal/source"},
 	"internal/hop":     {},
 	"internal/spill":   {"policy"},
 	"internal/standin": {}, // shares no code with what it watches
 	"internal/lab":     {"internal/standin"},
 	"cmd/adapter":      {"internal/wire"},
 	"cmd/cairnpick":    {"internal/sidecar"},
-	"cmd/sorrelrudder": {"internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile", "internal/tally", "internal/dayfile", "internal/emulator"},
+	"cmd/sorrelrudder": {"internal/council", "internal/explore", "internal/lease", "internal/task", "internal/tier", "internal/h2", "internal/tlsfiles", "internal/plain", "internal/route", "internal/bridge", "internal/gateway", "internal/lab", "internal/opfile", "internal/tally", "internal/dayfile", "internal/emulator"},
 }
 
 // pure modules read no clock, open nothing and start nothing.
--- /dev/null
+++ b/cmd/sorrelrudder/tier.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/lease"
+	"sorrelrudder/internal/opfile"
+	"sorrelrudder/internal/task"
+	"sorrelrudder/internal/tier"
+)
+
+type tierCmd struct {
+	Init    tierInitCmd   `cmd:"" help:"Found a fleet, once, at one member of its council that does not run: the others are admitted as they start."`
+	Status  tierStatusCmd `cmd:"" help:"What a process knows: its session, what it holds, who leads."`
+	Members tierMembers   `cmd:"" help:"Who has a seat in the council, who votes, who listens."`
+	Leases  tierLeases    `cmd:"" help:"Who holds and who waits for what."`
+	Tasks   tierTasks     `cmd:"" help:"What became of the tasks' slots."`
+	Lease   struct {
+		Revoke tierRevoke `cmd:"" help:"Take a lease from its holder: it is free once the holder has surely stopped."`
+	} `cmd:"" help:"Change a lease."`
+	Task struct {
+		Run tierTaskRun `cmd:"" help:"Have the next slot of a task done now, by whoever holds the task's lease."`
+	} `cmd:"" help:"Have a task done."`
+	Member struct {
+		Add     tierAdd     `cmd:"" help:"Let a member have a seat in the council."`
+		Remove  tierRemove  `cmd:"" help:"Take a member's seat away."`
+		Replace tierReplace `cmd:"" help:"Have a member's new store vote, and its former one no more. Only once that is gone for good."`
+	} `cmd:"" help:"Change who has a seat in the council."`
+}
+
+type tierInitCmd struct {
+	File string `arg:"" help:"The operator's file of the process."`
+}
+
+func (c *tierInitCmd) Run(s *streams) error {
+	f, err := opfile.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if f.Tier == nil || f.Tier.Store == "" {
+		return fmt.Errorf("%s: no member of a council: [tier] with a store is missing", c.File)
+	}
+	store, err := tier.OpenStore(f.Tier.Store, f.Tier.Name)
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	if err := store.Found(f.Tier.Council); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(s.out, "founded the fleet %s at %s; seats for %s\n", store.Identity().Fleet, f.Tier.Name, strings.Join(f.Tier.Council, ", "))
+	return err
+}
+
+// asking is how a process is asked.
+type asking struct {
+	Address string        `arg:"" help:"The address of a member: any that runs."`
+	Secret  string        `required:"" type:"existingfile" help:"The file of the tier's secret."`
+	JSON    bool          `help:"Print JSON."`
+	Timeout time.Duration `default:"5s" help:"How long an answer is waited for."`
+}
+
+func (a *asking) ask(do func(ctx context.Context, o *tier.Operator) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
+	defer cancel()
+	o, err := tier.Connect(ctx, a.Address, a.Secret)
+	if err != nil {
+		return err
+	}
+	defer o.Close()
+	return do(ctx, o)
+}
+
+// status asks for what the process knows, and prints it as JSON or by table.
+func (a *asking) status(s *streams, table func(*tier.Status, *tabwriter.Writer)) error {
+	return a.ask(func(ctx context.Context, o *tier.Operator) error {
+		st, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if a.JSON {
+			return json.NewEncoder(s.out).Encode(st)
+		}
+		w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		table(st, w)
+		return w.Flush()
+	})
+}
+
+type tierStatusCmd struct{ asking }
+
+func (c *tierStatusCmd) Run(s *streams) error {
+	return c.status(s, func(st *tier.Status, w *tabwriter.Writer) {
+		fmt.Fprintf(w, "process\t%s\nincarnation\t%s\nfleet\t%s\nsession\t%d\nleader\t%s\n", st.Name, st.Incarnation,
+			cmp.Or(st.Fleet, "unknown"), st.Session, cmp.Or(st.Leader, "unknown"))
+		if st.Superseded {
+			fmt.Fprintf(w, "superseded\tanother process has this name\n")
+		}
+		if st.Failed != "" {
+			fmt.Fprintf(w, "failed\t%s\n", st.Failed)
+		}
+		if k := st.Council; k != nil {
+			fmt.Fprintf(w, "seat\t%d, %s, term %d, applied %d of %d\n", k.ID, k.Role, k.Term, k.Applied, k.Commit)
+		}
+		for _, name := range slices.Sorted(maps.Keys(st.Holds)) {
+			fmt.Fprintf(w, "holds\t%s by %d for %d ms\n", name, st.Holds[name].Token, st.Holds[name].LeftMs)
+		}
+		for _, name := range slices.Sorted(maps.Keys(st.Running)) {
+			fmt.Fprintf(w, "runs\t%s, slot %d\n", name, st.Running[name])
+		}
+		for _, name := range slices.Sorted(maps.Keys(st.LinkErrors)) {
+			fmt.Fprintf(w, "last trouble with\t%s: %s\n", name, st.LinkErrors[name])
+		}
+	})
+}
+
+// fleetOf is the replicated state as the process knows it.
+func fleetOf(st *tier.Status, w *tabwriter.Writer) *council.Fleet {
+	if st.Council == nil || st.Council.Fleet == nil {
+		fmt.Fprintf(w, "%s has no seat in the council, or has not heard of its state yet: ask another\n", st.Name)
+		return nil
+	}
+	return st.Council.Fleet
+}
+
+type tierMembers struct{ asking }
+
+func (c *tierMembers) Run(s *streams) error {
+	return c.status(s, func(st *tier.Status, w *tabwriter.Writer) {
+		f := fleetOf(st, w)
+		if f == nil {
+			return
+		}
+		fmt.Fprintln(w, "member\tidentity\tvotes\tformer identity")
+		for _, name := range f.Names {
+			seat := f.Seats[name]
+			if seat == nil {
+				fmt.Fprintf(w, "%s\tnone yet\t\t\n", name)
+				continue
+			}
+			votes := "no"
+			if slices.Contains(st.Council.Voters, seat.ID) {
+				votes = "yes"
+			}
+			former := ""
+			if seat.Former != 0 {
+				former = fmt.Sprintf("%d, lost with its store", seat.Former)
+			}
+			fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", name, seat.ID, votes, former)
+		}
+	})
+}
+
+type tierLeases struct{ asking }
+
+func (c *tierLeases) Run(s *streams) error {
+	return c.status(s, func(st *tier.Status, w *tabwriter.Writer) {
+		f := fleetOf(st, w)
+		if f == nil {
+			return
+		}
+		fmt.Fprintln(w, "lease\tholder\ttoken\twaiting")
+		for _, name := range slices.Sorted(maps.Keys(f.Leases.Names)) {
+			e := f.Leases.Names[name]
+			for _, h := range e.Holders {
+				holder := "?"
+				if session := f.Leases.Sessions[h.Session]; session != nil {
+					holder = session.Member
+				}
+				if h.Revoked {
+					holder += ", revoked"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", name, holder, h.Token, len(e.Waiters))
+			}
+		}
+	})
+}
+
+type tierTasks struct{ asking }
+
+func (c *tierTasks) Run(s *streams) error {
+	return c.status(s, func(st *tier.Status, w *tabwriter.Writer) {
+		f := fleetOf(st, w)
+		if f == nil {
+			return
+		}
+		fmt.Fprintln(w, "task\tslot\topen\tlast\tdone\trefused\tfailed\tunknown\tleft out")
+		for _, name := range slices.Sorted(maps.Keys(f.Slots.Tasks)) {
+			p := f.Slots.Tasks[name]
+			fmt.Fprintf(w, "%s\t%d\t%v\t%s\t%d\t%d\t%d\t%d\t%d\n", name, p.Slot, p.Open, p.Last, p.Counts["done"], p.Counts["refused"],
+				p.Counts["failed"], p.Counts["unknown"], p.Skipped)
+		}
+	})
+}
+
+type tierRevoke struct {
+	Name string `arg:"" help:"The lease."`
+	asking
+	Token uint64 `help:"Only from the holder with this token; 0: from all that hold it."`
+}
+
+func (c *tierRevoke) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		r, err := o.Ask(ctx, council.Request{Lease: &lease.Ask{Command: &lease.Command{Op: lease.Revoke, Name: c.Name, Token: c.Token}}})
+		if err != nil {
+			return err
+		}
+		if r.Revoked == nil {
+			return tier.ErrNoCouncil
+		}
+		if r.Revoked.Why != "" {
+			return fmt.Errorf("%s: %s", c.Name, r.Revoked.Why)
+		}
+		_, err = fmt.Fprintf(s.out, "%s is revoked, and free after one term\n", c.Name)
+		return err
+	})
+}
+
+type tierSeat struct {
+	Name string `arg:"" help:"The member."`
+	asking
+}
+
+type (
+	tierAdd     struct{ tierSeat }
+	tierRemove  struct{ tierSeat }
+	tierReplace struct{ tierSeat }
+)
+
+func (c *tierAdd) Run(s *streams) error     { return c.change(s, council.Add) }
+func (c *tierRemove) Run(s *streams) error  { return c.change(s, council.Remove) }
+func (c *tierReplace) Run(s *streams) error { return c.change(s, council.Replace) }
+
+func (c *tierSeat) change(s *streams, op council.SeatOp) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		r, err := o.Ask(ctx, council.Request{Seat: &council.SeatCommand{Op: op, Name: c.Name}})
+		if err != nil {
+			return err
+		}
+		if r.Seat == nil {
+			return tier.ErrNoCouncil
+		}
+		if r.Seat.Why != "" {
+			return fmt.Errorf("nothing was changed: %s", r.Seat.Why)
+		}
+		_, err = fmt.Fprintf(s.out, "%s: %s; 'tier members' shows when it is carried out\n", c.Name, op)
+		return err
+	})
+}
+
+type tierTaskRun struct {
+	Name string `arg:"" help:"The task."`
+	asking
+}
+
+func (c *tierTaskRun) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		r, err := o.Ask(ctx, council.Request{Slot: &task.Command{Op: task.Call, Task: c.Name}})
+		if err != nil {
+			return err
+		}
+		if r.Slot == nil {
+			return tier.ErrNoCouncil
+		}
+		if r.Slot.Why != "" {
+			return fmt.Errorf("%s: %s", c.Name, r.Slot.Why)
+		}
+		_, err = fmt.Fprintf(s.out, "%s: the slot after %d is done now\n", c.Name, r.Slot.State.Slot)
+		return err
+	})
+}
--- a/internal/council/fleet.go
+++ b/internal/council/fleet.go
@@ -85,6 +85,22 @@
 
 func (f *Fleet) snapshot() ([]byte, error) { return json.Marshal(f) }
 
+// Clone returns a copy that stays as it is, nil of nil.
+func (f *Fleet) Clone() *Fleet {
+	if f == nil {
+		return nil
+	}
+	data, err := f.snapshot()
+	if err != nil {
+		return nil
+	}
+	c, err := restore(data)
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
 func restore(data []byte) (*Fleet, error) {
 	var parts struct {
 		Fleet
--- a/internal/gateway/extension.go
+++ b/internal/gateway/extension.go
@@ -87,3 +87,42 @@
 	}
 	return p, nil
 }
+
+// Do sends a request of this process' own through a pool and its decision module, and returns the one answer. An error is a
+// message.Bad, before any server could have had the request, or that of ctx: then it may have run. Work of the process' own gives way to
+// that of clients: while the pool is short, it is refused.
+func (g *Gateway) Do(ctx context.Context, name string, q *message.Request) (message.Answer, error) {
+	m := g.table.Load().pools[name]
+	if m == nil {
+		return message.Answer{}, message.Bad{Status: http.StatusNotFound, Text: "no such pool"}
+	}
+	g.shares.Lock()
+	yields := g.admission.Crowded(m.key)
+	g.shares.Unlock()
+	if yields {
+		return message.Answer{}, message.Bad{Status: http.StatusServiceUnavailable, Text: "the pool is taken by clients"}
+	}
+	ask, err := m.pool.Legal(q, q.Path)
+	a, _, err := g.admit(m, q, ask, err)
+	if err != nil {
+		return message.Answer{}, err
+	}
+	x, err := a.Take(q.Body, nil)
+	if err != nil {
+		return message.Answer{}, err
+	}
+	var answer message.Answer
+	select {
+	case answer = <-x.Answer():
+	case <-ctx.Done():
+		if x.Withdraw() {
+			return message.Answer{}, ctx.Err()
+		}
+		answer = <-x.Answer() // it was there already
+	}
+	if answer.Rest != nil { // nobody here reads a long answer
+		answer.Rest.Close(false)
+		answer.Rest = nil
+	}
+	return answer, nil
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -112,6 +112,9 @@
 // Gone reports whether another process has this one's name: it gets no session any more.
 func (k *Keeper) Gone() bool { return k.gone }
 
+// Start is the nonce of the process' start: its incarnation.
+func (k *Keeper) Start() string { return k.start }
+
 // Session is the number of the present session, 0 without one.
 func (k *Keeper) Session() uint64 { return k.session }
 
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -16,6 +16,7 @@
 	"sorrelrudder/internal/plain"
 	"sorrelrudder/internal/route"
 	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/tier"
 	"sorrelrudder/policy"
 )
 
@@ -29,6 +30,7 @@
 	// Warnings are what may be meant and is dangerous.
 	Warnings []string
 	Bridge   *bridge.Config // nil: the process has no peers
+	Tier     *tier.Config   // nil: the process knows no others
 	root     *section
 }
 
@@ -128,6 +130,7 @@
 		f.spill(r, names[i], p, &c.Pools[i])
 	}
 	f.routes(r, names, pools)
+	f.tier(r)
 	s.done()
 	if len(r.errs) == 0 {
 		if err := c.Check(); err != nil {
--- /dev/null
+++ b/internal/opfile/tier.go
@@ -0,0 +1,158 @@
+package opfile
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/gateway"
+	"sorrelrudder/internal/lease"
+	"sorrelrudder/internal/task"
+	"sorrelrudder/internal/tier"
+	"sorrelrudder/policy"
+)
+
+// tier reads the fleet that this process is of, and the fleet's tasks.
+func (f *File) tier(r *reader) {
+	s := f.root
+	if !s.has("tier") {
+		if s.has("tasks") {
+			r.bad(s.at("tasks"), "are done once for a fleet: [tier] is missing")
+		}
+		return
+	}
+	t := s.table("tier")
+	c := &tier.Config{Name: t.needed("name"), Secret: t.needed("secret"), Store: t.str("store", ""), Council: t.strs("council"), Members: map[string]string{}}
+	c.Rules = lease.Rules{
+		Term: t.duration("term", 3*time.Second, 50*time.Millisecond, time.Hour), Drift: t.number("drift", 0.01, 0, 0.2),
+		Guard: t.duration("guard", 50*time.Millisecond, 0, time.Minute),
+	}
+	c.Tick = t.duration("tick", 100*time.Millisecond, time.Millisecond, 10*time.Second)
+	addresses := map[string]int{}
+	for _, m := range t.tables("members") {
+		name, address := m.needed("name"), m.needed("address")
+		m.done()
+		if address != "" {
+			r.address(m.at("address"), address, false)
+		}
+		if _, had := c.Members[name]; had && name != "" {
+			r.bad(m.at("name"), "member %q is there twice", name)
+		}
+		if line, had := addresses[address]; had && address != "" {
+			r.bad(m.at("address"), "is %s, as that of the member in line %d", address, line)
+		}
+		if len(name) > lease.MostNameLen || name == "operator" {
+			r.bad(m.at("name"), "%q can't be the name of a member", name)
+		}
+		addresses[address] = m.n.line
+		c.Members[name] = address
+	}
+	t.done()
+	if c.Name != "" && c.Members[c.Name] == "" {
+		r.bad(t.at("name"), "%q is none of [[tier.members]]", c.Name)
+	}
+	switch n := len(c.Council); {
+	case n == 0:
+		r.bad(t.at("council"), "is empty: name three, five or seven members that vote")
+	case n%2 == 0:
+		r.bad(t.at("council"), "has %d members: an even number bears no more failures than one less, and is slower", n)
+	case n > council.MostSeats:
+		r.bad(t.at("council"), "has %d members, more than %d", n, council.MostSeats)
+	}
+	for i, name := range c.Council {
+		if slices.Contains(c.Council[:i], name) {
+			r.bad(t.at("council"), "names %q twice", name)
+		}
+		if c.Members[name] == "" {
+			r.bad(t.at("council"), "names %q, which is none of [[tier.members]]", name)
+		}
+	}
+	seated := slices.Contains(c.Council, c.Name)
+	if seated && c.Store == "" {
+		r.bad(t.at("store"), "is missing: this process is in the council, and what it promises there has to outlive it")
+	}
+	if !seated && c.Store != "" {
+		r.bad(t.at("store"), "is for members of the council, which %q is not", c.Name)
+	}
+	if err := c.Rules.Check(); err != nil {
+		r.bad(t.at("term"), "%v", err)
+	}
+	if c.Rules.Term < 10*c.Tick {
+		r.bad(t.at("term"), "is %v, below ten ticks of %v: each election would end all leases", c.Rules.Term, c.Tick)
+	}
+	named := map[string]bool{}
+	for _, section := range s.tables("tasks") {
+		k := r.task(section, f.Gateway.Pools)
+		if named[k.Name] && k.Name != "" {
+			r.bad(section.at("name"), "task %q is there twice", k.Name)
+		}
+		named[k.Name] = true
+		c.Tasks = append(c.Tasks, k)
+	}
+	if len(c.Tasks) > task.MostTasks {
+		r.bad(s.at("tasks"), "are %d, more than %d", len(c.Tasks), task.MostTasks)
+	}
+	f.Tier = c
+}
+
+var missed = map[string]task.Missed{"skip": task.Skip, "once": task.Once, "each": task.Each}
+
+// task reads one task. Its class, and with it what doing it twice would do, is that of its path in its pool.
+func (r *reader) task(s *section, pools []gateway.Pool) tier.Task {
+	k := tier.Task{Pool: s.needed("pool"), Path: s.needed("path"), Tenant: s.str("tenant", ""), Body: s.str("body", "")}
+	k.Name = s.needed("name")
+	k.Every = s.duration("every", 24*time.Hour, 10*time.Millisecond, 366*day)
+	k.At = s.duration("at", 0, 0, day)
+	k.Spread = s.duration("spread", 0, 0, 366*day)
+	k.Missed = missed[s.word("missed", "once", "skip", "once", "each")]
+	k.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
+	k.Tries = int(s.whole("tries", 3, 1, 100))
+	k.Method = s.word("method", http.MethodPost, http.MethodGet, http.MethodPost)
+	s.done()
+	if len(k.Name) > lease.MostNameLen-len("task/") || strings.ContainsAny(k.Name, "\r\n/") {
+		r.bad(s.at("name"), "%q can't be the name of a task", k.Name)
+	}
+	if k.Path != "" && (!strings.HasPrefix(k.Path, "/") || strings.ContainsAny(k.Path, " \r\n")) {
+		r.bad(s.at("path"), "is %q, which is no path", k.Path)
+	}
+	var names []string
+	at := -1
+	for i, p := range pools {
+		if names = append(names, p.Name); p.Name == k.Pool {
+			at = i
+		}
+	}
+	if at < 0 {
+		if k.Pool != "" {
+			r.known(s.at("pool"), "pool", k.Pool, names)
+		}
+		return k
+	}
+	if pools[at].Dialect != nil {
+		r.bad(s.at("pool"), "%q speaks plain HTTP, which tasks can't be sent to yet", k.Pool)
+		return k
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(k.Path, "/"), "/")
+	names = nil
+	var of *policy.Class
+	for i := range pools[at].Settings.Config.Classes {
+		c := &pools[at].Settings.Config.Classes[i]
+		if names = append(names, c.Name); c.Name == class {
+			of = c
+		}
+	}
+	if of == nil {
+		r.known(s.at("path"), "class", class, names)
+		return k
+	}
+	k.Effect, k.Window = task.Effect(of.Effect), of.KeyTTL
+	if (of.Effect == policy.Safe) != (k.Method == http.MethodGet) {
+		r.bad(s.at("method"), "is %s, and the class %q is %s", k.Method, class, [...]string{"safe", "keyed", "unsafe"}[of.Effect])
+	}
+	if err := k.Spec.Check(); err != nil {
+		r.bad(s.n, "%v", err)
+	}
+	return k
+}
--- a/internal/share/admission.go
+++ b/internal/share/admission.go
@@ -157,5 +157,21 @@
 // Trim gives back a part of what an admitted request holds, as its body turned out shorter.
 func (a *Admission) Trim(k Key, unused int64) { a.bodies.Give(k, unused) }
 
+// crowdedShare is the part of what is kept for a pool that its clients leave to the process' own work.
+const crowdedShare = 0.5
+
+// Crowded reports whether clients take so much of pool k that the process' own work had better wait: half of the requests that are
+// kept for it are open, or it has fewer than one token of its rate in two.
+func (a *Admission) Crowded(k Key) bool {
+	p := a.pools[k]
+	if p == nil {
+		return true
+	}
+	if least := p.limits.Open.Min; least > 0 && float64(a.open.Used(k)) >= crowdedShare*float64(least) {
+		return true
+	}
+	return p.limits.Rate > 0 && p.tokens < crowdedShare*p.limits.Burst
+}
+
 // Open is how many requests of pool k are open.
 func (a *Admission) Open(k Key) int64 { return a.open.Used(k) }
--- a/internal/task/book.go
+++ b/internal/task/book.go
@@ -31,6 +31,7 @@
 const (
 	Begin  Op = "begin"
 	Finish Op = "finish"
+	Call   Op = "call" // an operator has the next slot done now
 )
 
 // Command changes the book. It comes out of the council's log.
@@ -73,6 +74,7 @@
 	Last    Outcome           `json:"last,omitempty"`
 	Counts  map[Outcome]int64 `json:"counts,omitempty"`
 	Skipped int64             `json:"skipped,omitempty"`
+	Called  bool              `json:"called,omitempty"` // an operator wants the next slot now
 }
 
 // Book is the replicated state.
@@ -121,6 +123,14 @@
 }
 
 func (b *Book) apply(c Command) Why {
+	if c.Op == Call {
+		p := b.Tasks[c.Task]
+		if p == nil {
+			return NotBegun
+		}
+		p.Called = true
+		return ""
+	}
 	if c.Task == "" || len(c.Task) > mostNameLen || c.Token == 0 || c.Slot <= 0 {
 		return Malformed
 	}
@@ -152,6 +162,7 @@
 		default:
 			p.Slot, p.Open, p.By, p.Begun = c.Slot, true, c.Token, 1
 			p.Skipped += max(0, c.Skipped)
+			p.Called = false
 		}
 	case Finish:
 		switch c.Outcome {
--- a/internal/task/plan.go
+++ b/internal/task/plan.go
@@ -116,6 +116,10 @@
 		return Step{Until: wall.Add(s.Deadline)}
 	}
 	slot, due := s.Slot(wall)
+	if p.Called && p.Slot > 0 {
+		first := max(p.Slot+1, slot)
+		return Step{Begin: first, Skipped: first - p.Slot - 1}
+	}
 	next := Step{Until: s.Due(slot + 1)}
 	if slot <= p.Slot || slot <= 0 {
 		if p.Slot > slot { // the clock here is behind that of who began it
--- a/internal/task/runner.go
+++ b/internal/task/runner.go
@@ -58,6 +58,9 @@
 	return 0
 }
 
+// Busy reports whether something is out, or has come back and is not written down yet.
+func (r *Runner) Busy() bool { return r.out || r.outcome != "" || r.slot != 0 }
+
 // Next decides what is done now, and when to ask again at the latest. token and until are of the task's lease, 0 without it.
 func (r *Runner) Next(now time.Duration, wall time.Time, token uint64, until time.Duration) (a Action, at time.Duration) {
 	if r.out {
@@ -107,7 +110,11 @@
 	case step.Begin != 0:
 		return r.ask(now, Command{Op: Begin, Task: r.spec.Name, Slot: step.Begin, Token: token, Again: step.Again, Skipped: step.Skipped})
 	}
-	return a, now + max(time.Millisecond, step.Until.Sub(wall))
+	at = now + max(time.Millisecond, step.Until.Sub(wall))
+	if now >= r.nextLook { // an operator may have called for the next slot
+		a, _ = r.look(now, true)
+	}
+	return a, min(at, r.nextLook)
 }
 
 func (r *Runner) ask(now time.Duration, c Command) (Action, time.Duration) {
--- /dev/null
+++ b/internal/tier/link.go
@@ -0,0 +1,323 @@
+package tier
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// A frame is four bytes of length, one of its kind, what it carries and a tag that proves the secret. Frames may be lost, doubled and
+// overtake each other: what they carry is made for that. One that was changed ends the connection.
+const (
+	kindHello  = 'H'
+	kindRaft   = 'R' // a message of the council's log
+	kindAsk    = 'Q' // a request, with its handle
+	kindAnswer = 'A' // its answer
+	kindWake   = 'W' // your leases have changed
+)
+
+const (
+	tagLen     = 16
+	mostHello  = 4 << 10
+	mostFrame  = 64 << 20 // a snapshot of 100,000 leases has some 20 MB
+	handshake  = 2 * time.Second
+	writeTime  = 5 * time.Second
+	idleTime   = time.Minute // without a frame a connection is closed
+	queueLen   = 512         // frames of a link that wait; more are dropped, as on a network
+	mostInward = 2048        // connections of others
+)
+
+var (
+	errTag    = errors.New("a frame without the right tag: another secret, or it was changed on the way")
+	errLong   = errors.New("a frame is too long")
+	errNobody = errors.New("no member of this fleet")
+)
+
+// hello is what both ends say first.
+type hello struct {
+	Version int    `json:"v"`
+	Name    string `json:"name"`
+	To      string `json:"to,omitempty"`
+	Fleet   string `json:"fleet,omitempty"`
+	Nonce   []byte `json:"nonce"`
+}
+
+const helloVersion = 1
+
+// key is an HMAC of parts that cannot run into each other.
+func key(secret []byte, parts ...[]byte) []byte {
+	m := hmac.New(sha256.New, secret)
+	for _, p := range parts {
+		m.Write(binary.BigEndian.AppendUint32(nil, uint32(len(p))))
+		m.Write(p)
+	}
+	return m.Sum(nil)
+}
+
+// conn is a connection whose ends have proven the secret.
+type conn struct {
+	net.Conn
+	r          *bufio.Reader
+	mine, hers []byte // keys of what goes out and what comes in
+	peer       hello
+	mu         sync.Mutex // of writing
+}
+
+func (c *conn) write(kind byte, payload []byte) error {
+	head := binary.BigEndian.AppendUint32(nil, uint32(1+len(payload)+tagLen))
+	head = append(head, kind)
+	tag := key(c.mine, []byte{kind}, payload)[:tagLen]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	buffers := net.Buffers{head, payload, tag}
+	_, err := buffers.WriteTo(c.Conn)
+	return err
+}
+
+// read returns the next frame. Memory is taken as bytes come, not as they are announced.
+func (c *conn) read(most uint32) (kind byte, payload []byte, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(c.r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < 1+tagLen || n > most {
+		return 0, nil, errLong
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, c.r, int64(n)); err != nil {
+		return 0, nil, err
+	}
+	all := buf.Bytes()
+	kind, payload = all[0], all[1:len(all)-tagLen]
+	if !hmac.Equal(key(c.hers, []byte{kind}, payload)[:tagLen], all[len(all)-tagLen:]) {
+		return 0, nil, errTag
+	}
+	return kind, payload, nil
+}
+
+// sessionKeys are those of what the dialler and of what the other end says.
+func sessionKeys(secret, a, b []byte) (dialler, other []byte) {
+	return key(secret, []byte("dialler"), a, b), key(secret, []byte("other"), a, b)
+}
+
+func (c *conn) hello(key []byte, h hello) error {
+	data, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	c.mine = key
+	return c.write(kindHello, data)
+}
+
+func (c *conn) heard(key []byte) (h hello, err error) {
+	c.hers = key
+	kind, data, err := c.read(mostHello)
+	if err != nil {
+		return h, err
+	}
+	if kind != kindHello {
+		return h, errors.New("no hello")
+	}
+	if err := json.Unmarshal(data, &h); err != nil {
+		return h, fmt.Errorf("hello: %w", err)
+	}
+	switch {
+	case h.Version != helloVersion:
+		return h, fmt.Errorf("hello: version %d, and this program speaks %d", h.Version, helloVersion)
+	case len(h.Nonce) != sha256.Size || h.Name == "":
+		return h, errors.New("hello: not whole")
+	}
+	return h, nil
+}
+
+func nonce() []byte {
+	n := make([]byte, sha256.Size)
+	rand.Read(n) // never fails
+	return n
+}
+
+// dial connects to address, and proves the secret and has it proven.
+func dial(ctx context.Context, address string, secret []byte, me hello) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshake)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, r: bufio.NewReader(raw)}
+	deadline, _ := ctx.Deadline()
+	me.Version, me.Nonce = helloVersion, nonce()
+	err = raw.SetDeadline(deadline)
+	if err == nil {
+		err = c.hello(key(secret, []byte("hello")), me)
+	}
+	if err == nil {
+		// The answer is proven with this dialler's nonce: nobody can have kept it from another time.
+		c.peer, err = c.heard(key(secret, []byte("answer"), me.Nonce))
+	}
+	if err == nil && me.To != "" && c.peer.Name != me.To {
+		err = fmt.Errorf("there is %q where %q should be", c.peer.Name, me.To)
+	}
+	if err == nil {
+		err = raw.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		raw.Close()
+		return nil, fmt.Errorf("%s: %w", address, err)
+	}
+	c.mine, c.hers = sessionKeys(secret, me.Nonce, c.peer.Nonce)
+	return c, nil
+}
+
+// accept is the other end of dial. The dialler has proven the secret once its first frame has been read.
+func accept(raw net.Conn, secret []byte, me hello, known func(hello) error) (*conn, error) {
+	c := &conn{Conn: raw, r: bufio.NewReader(raw)}
+	if err := raw.SetDeadline(time.Now().Add(handshake)); err != nil {
+		return nil, err
+	}
+	h, err := c.heard(key(secret, []byte("hello")))
+	if err != nil {
+		return nil, err
+	}
+	if err := known(h); err != nil {
+		return nil, err
+	}
+	c.peer = h
+	me.Version, me.Nonce = helloVersion, nonce()
+	if err := c.hello(key(secret, []byte("answer"), h.Nonce), me); err != nil {
+		return nil, err
+	}
+	if err := raw.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	c.hers, c.mine = sessionKeys(secret, h.Nonce, me.Nonce)
+	return c, nil
+}
+
+// frame is what a link sends.
+type frame struct {
+	kind    byte
+	payload []byte
+}
+
+// link is the way to one member: a connection that is made when there is something to send, and made again after a while when it
+// breaks. What can't be sent is dropped: whoever wants an answer asks again.
+type link struct {
+	address string
+	secret  []byte
+	me      func() hello
+	queue   chan frame
+	take    func(*conn, byte, []byte)
+	told    func(error) // of a connection that could not be made or broke
+}
+
+func newLink(address string, secret []byte, me func() hello, take func(*conn, byte, []byte), told func(error)) *link {
+	return &link{address: address, secret: secret, me: me, queue: make(chan frame, queueLen), take: take, told: told}
+}
+
+// send queues a frame, and reports whether there was room.
+func (l *link) send(kind byte, payload []byte) bool {
+	select {
+	case l.queue <- frame{kind, payload}:
+		return true
+	default:
+		return false
+	}
+}
+
+// run carries frames until ctx ends.
+func (l *link) run(ctx context.Context) {
+	pause := time.Duration(0)
+	for {
+		var f frame
+		select {
+		case <-ctx.Done():
+			return
+		case f = <-l.queue:
+		}
+		c, err := dial(ctx, l.address, l.secret, l.me())
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			l.told(err)
+			pause = min(max(2*pause, 20*time.Millisecond), time.Second)
+			if !l.rest(ctx, jitter(pause)) {
+				return
+			}
+			continue
+		}
+		pause = 0
+		l.carry(ctx, c, f)
+	}
+}
+
+// rest drops what is to be sent for a while: it would be old when there is a connection again.
+func (l *link) rest(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return true
+		case <-l.queue:
+		}
+	}
+}
+
+// carry uses a connection until it breaks.
+func (l *link) carry(ctx context.Context, c *conn, first frame) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	broken := make(chan struct{})
+	go func() {
+		defer close(broken)
+		defer c.Close()
+		for {
+			c.SetReadDeadline(time.Now().Add(idleTime))
+			kind, payload, err := c.read(mostFrame)
+			if err != nil {
+				return
+			}
+			l.take(c, kind, payload)
+		}
+	}()
+	defer func() { <-broken }()
+	defer c.Close()
+	for f := first; ; {
+		if err := c.write(f.kind, f.payload); err != nil {
+			l.told(err)
+			return
+		}
+		select {
+		case <-broken:
+			return
+		case f = <-l.queue:
+		}
+	}
+}
+
+// jitter keeps processes that lost each other at one moment from all coming back at one moment.
+func jitter(d time.Duration) time.Duration {
+	var b [2]byte
+	rand.Read(b[:])
+	return d/2 + time.Duration(uint64(d)*uint64(binary.BigEndian.Uint16(b[:]))>>16)
+}
--- /dev/null
+++ b/internal/tier/seat.go
@@ -0,0 +1,276 @@
+package tier
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/message"
+	"sorrelrudder/internal/task"
+)
+
+// sit begins to take part in the council, if the store has an identity there.
+func (t *Tier) sit(s *seat) error {
+	id := t.store.Identity()
+	if id.ID == 0 {
+		t.log.Warn("this process' store has no identity: it asks the council for one, and votes only once it is admitted "+
+			"('sorrelrudder tier init' founds a fleet, once)", "store", t.cfg.Store)
+		return nil
+	}
+	saved, err := t.store.Load()
+	if err != nil {
+		return err
+	}
+	s.node, err = council.New(council.Config{ID: id.ID, Rules: t.cfg.Rules, Saved: saved})
+	if err != nil {
+		return damaged(t.cfg.Store, err)
+	}
+	t.log.Info("a seat in the council", "id", id.ID, "fleet", id.Fleet)
+	return nil
+}
+
+// preside has the council's node work until the end.
+func (t *Tier) preside(s *seat) {
+	tick := time.NewTicker(t.cfg.Tick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-tick.C:
+			if s.node != nil {
+				s.node.Tick(t.clock.Now())
+			} else if t.store != nil && s.failed == nil {
+				t.admit(s)
+			}
+		case f := <-t.inbox:
+			f(s)
+			// All that has come meanwhile shares one sync.
+			for n := len(t.inbox); n > 0; n-- {
+				(<-t.inbox)(s)
+			}
+		}
+		t.work(s)
+	}
+}
+
+// ask hands the node a request.
+func (t *Tier) ask(s *seat, q council.Request, then func(council.Response)) {
+	if s.node == nil {
+		then(council.Response{Elsewhere: true})
+		return
+	}
+	s.last++
+	s.routes[s.last] = then
+	s.node.Ask(t.clock.Now(), s.last, q)
+}
+
+// admit asks the council for an identity.
+func (t *Tier) admit(s *seat) {
+	now := t.clock.Now()
+	if now < s.admitAt {
+		return
+	}
+	s.admitAt = now + t.cfg.Rules.RenewEvery()
+	q := council.Request{Seat: &council.SeatCommand{Op: council.Admit, Name: t.cfg.Name, Store: t.store.Identity().Store}}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leader == t.cfg.Name {
+		t.leader = ""
+	}
+	t.call(&call{q: q, then: func(r council.Response) {
+		if r.Seat == nil {
+			return
+		}
+		got := *r.Seat
+		t.tryPost(func(s *seat) { t.admitted(s, got) })
+	}})
+}
+
+func (t *Tier) admitted(s *seat, r council.SeatResult) {
+	if s.node != nil || s.failed != nil {
+		return
+	}
+	if r.ID == 0 {
+		t.log.Error("the council gives this process no seat", "why", r.Why)
+		return
+	}
+	err := t.store.Admitted(r.Fleet, r.ID)
+	if err == nil {
+		err = t.sit(s)
+	}
+	if err != nil {
+		s.failed = err
+		t.log.Error("no part in the council", "err", err)
+		return
+	}
+	t.mu.Lock()
+	t.fleet = r.Fleet
+	t.mu.Unlock()
+	if !r.Voter {
+		t.log.Warn("this process' seat was that of another store: it listens and does not vote, since what the other store promised is lost; "+
+			"'sorrelrudder tier member replace' has it vote once the other is gone for good", "id", r.ID)
+	}
+}
+
+// work carries out what the node wants.
+func (t *Tier) work(s *seat) {
+	if s.node == nil {
+		return
+	}
+	out, err := s.node.Work(t.clock.Now(), t.store)
+	if err != nil {
+		// After a failed write nobody knows what the disk holds: the file is read again, or not at all, by the next start.
+		s.node, s.failed = nil, err
+		t.log.Error("this process has no part in the council until its next start", "err", err)
+		for _, then := range s.routes {
+			then(council.Response{Elsewhere: true})
+		}
+		clear(s.routes)
+		return
+	}
+	for _, e := range out.Events {
+		t.log.Info(e.What, e.Args...)
+	}
+	t.mu.Lock()
+	for _, m := range out.Messages {
+		l := t.linkTo(s.node.NameOf(m.GetTo()))
+		if l == nil {
+			continue
+		}
+		data, err := council.EncodeMessage(m)
+		if err != nil {
+			t.log.Error("a message that can't be written", "err", err)
+			continue
+		}
+		l.send(kindRaft, data)
+	}
+	var wakes []*conn
+	for _, name := range out.Wakes {
+		if name == t.cfg.Name {
+			t.keeper.Wake()
+			t.keep()
+		} else if c := t.inward[name]; c != nil {
+			wakes = append(wakes, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, r := range out.Replies {
+		if then := s.routes[r.Handle]; then != nil {
+			delete(s.routes, r.Handle)
+			then(r.Response)
+		}
+	}
+	for _, c := range wakes {
+		if c.write(kindWake, nil) != nil {
+			c.Close()
+		}
+	}
+}
+
+// send sends the request of a slot through its pool, and notes what came of it.
+func (t *Tier) send(r *runner, s task.Send) {
+	deadline := t.clock.Real(s.Deadline - t.clock.Now())
+	ctx, cancel := contextFor(t.ctx, deadline)
+	defer cancel()
+	name := s.Key + "-" + strconv.FormatUint(s.Token, 10) + "-" + strconv.Itoa(s.Attempt)
+	header := http.Header{
+		"X-Request-Id": {name}, "X-Timeout-Ms": {strconv.FormatInt(max(1, deadline.Milliseconds()), 10)},
+		"Fencing-Token": {strconv.FormatUint(s.Token, 10)},
+	}
+	if r.cfg.Effect == task.Keyed {
+		header.Set("Idempotency-Key", s.Key)
+	}
+	if r.cfg.Tenant != "" {
+		header.Set("X-Tenant-Id", r.cfg.Tenant)
+	}
+	path, _, _ := strings.Cut(r.cfg.Path, "?")
+	a, err := t.sender.Do(ctx, r.cfg.Pool, &message.Request{
+		Method: r.cfg.Method, URI: r.cfg.Path, Path: path, Host: r.cfg.Pool, Header: header, Length: int64(len(r.cfg.Body)), Body: []byte(r.cfg.Body),
+	})
+	outcome := outcomeOf(a, err)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	r.core.Sent(now, outcome, now+max(a.RetryAfter, 20*time.Millisecond))
+	t.keep()
+}
+
+// outcomeOf is what an answer says of a slot: a refusal promises that nothing has run, a failure promises nothing.
+func outcomeOf(a message.Answer, err error) task.Outcome {
+	bad, isBad := err.(message.Bad)
+	switch {
+	case isBad && bad.Refused():
+		return task.Refused
+	case isBad:
+		return task.Failed
+	case err != nil:
+		return task.Unknown
+	case a.Status >= 200 && a.Status < 300:
+		return task.Done
+	case a.Status == http.StatusServiceUnavailable, a.Status == http.StatusTooManyRequests:
+		return task.Refused
+	}
+	return task.Failed
+}
+
+// Status is what a process tells operators.
+type Status struct {
+	Name        string               `json:"name"`
+	Incarnation string               `json:"incarnation"`
+	Session     uint64               `json:"session"`
+	Superseded  bool                 `json:"superseded,omitempty"`
+	Holds       map[string]Held      `json:"holds,omitempty"`
+	Running     map[string]int64     `json:"running,omitempty"` // slots whose request is out, by task
+	Fleet       string               `json:"fleet,omitempty"`
+	Leader      string               `json:"leader,omitempty"`
+	LinkErrors  map[string]string    `json:"link_errors,omitempty"`
+	Council     *council.State       `json:"council,omitempty"` // at those that have a seat
+	Failed      string               `json:"failed,omitempty"`
+	Tasks       map[string]task.Page `json:"tasks,omitempty"`
+}
+
+// Held is a lease that a process may act on.
+type Held struct {
+	Token  uint64 `json:"token"`
+	LeftMs int64  `json:"left_ms"`
+}
+
+// status tells what this process knows, without asking others.
+func (t *Tier) status(then func(*Status)) {
+	t.mu.Lock()
+	now := t.clock.Now()
+	s := &Status{
+		Name: t.cfg.Name, Incarnation: t.keeper.Start(), Session: t.keeper.Session(), Superseded: t.keeper.Gone(), Holds: map[string]Held{},
+		Running: map[string]int64{}, Fleet: t.fleet, Leader: t.leader, LinkErrors: maps.Clone(t.linkErr),
+	}
+	for _, name := range slices.Clone(t.keeper.Held(now)) {
+		if token, until, ok := t.keeper.Holding(now, name); ok {
+			s.Holds[name] = Held{token, (until - now).Milliseconds()}
+		}
+	}
+	for name, r := range t.runners {
+		if slot := r.core.Running(); slot != 0 {
+			s.Running[name] = slot
+		}
+	}
+	t.mu.Unlock()
+	if t.store == nil {
+		then(s)
+		return
+	}
+	t.post(func(st *seat) {
+		if st.failed != nil {
+			s.Failed = st.failed.Error()
+		}
+		if st.node != nil {
+			s.Council = st.node.State()
+			s.Council.Fleet = s.Council.Fleet.Clone()
+		}
+		then(s)
+	})
+}
