--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -267,6 +267,7 @@
 	Seed     uint64        `default:"1" help:"What the day is drawn from."`
 	Duration time.Duration `help:"How long the load lasts; 0 for the scenario's usual time."`
 	JSON     bool          `help:"Print one JSON object in place of the table."`
+	Faults   string        `help:"Do the faults of this file to a fleet in place of drawn ones; --json prints them as it wants them."`
 	Verbose  bool          `short:"v" help:"Show the program's log."`
 }
 
@@ -284,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	o := lab.Options{Seed: c.Seed, Duration: c.Duration, Program: []string{self}}
+	o := lab.Options{Seed: c.Seed, Duration: c.Duration, Program: []string{self}, Faults: c.Faults}
 	if c.Verbose {
 		o.Log = s.err
 	} else if f, ok := s.err.(*os.File); ok && isTerminal(f) {
--- a/internal/council/node.go
+++ b/internal/council/node.go
@@ -185,6 +185,11 @@
 		}
 	}
 	if h := cfg.Saved.Hard; !raft.IsEmptyHardState(h) {
+		if h.GetCommit() < n.saved {
+			// How much is decided need not be synced, and what a snapshot holds is.
+			commit := n.saved
+			h = &raftpb.HardState{Term: h.Term, Vote: h.Vote, Commit: &commit}
+		}
 		if err := n.log.SetHardState(h); err != nil {
 			return nil, fmt.Errorf("council: state: %w", err)
 		}
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -51,6 +51,9 @@
 		delete(d.w.syncFails, d.p.i)
 		return errDisk
 	}
+	if !sync { // as the program's store does: it would be learnt anew
+		return nil
+	}
 	if s.Hard != nil {
 		d.now.Hard = s.Hard
 	}
@@ -72,7 +75,7 @@
 		}
 		d.now.Entries = append(d.now.Entries[:keep:keep], s.Entries...)
 	}
-	if sync && d.w.o.Plant != NoSync {
+	if d.w.o.Plant != NoSync {
 		d.sure = d.now
 		d.w.counts["syncs"]++
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -57,6 +57,7 @@
 	Program  []string      // the command of the program, without its arguments
 	Progress io.Writer     // nil: none
 	Log      io.Writer     // the program's log; nil: only its end, should it fail
+	Faults   string        // file of faults to be done to a fleet in place of drawn ones; empty: none
 }
 
 // Report is what came of a scenario.
@@ -66,6 +67,7 @@
 	Pass     bool               `json:"pass"`
 	Broken   []string           `json:"broken"`
 	Measures map[string]float64 `json:"measures"`
+	Faults   json.RawMessage    `json:"faults,omitempty"` // what was done to a fleet, as --faults reads it
 
 	order  []string
 	bounds map[string]string
--- /dev/null
+++ b/internal/lab/lease.go
@@ -0,0 +1,482 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"sorrelrudder/internal/standin"
+)
+
+func init() {
+	Register(Scenario{
+		Name: "lease-quickstart", Duration: 8 * time.Second, Run: leaseQuickstart,
+		Summary: "three processes share one task; its holder is killed, then one ends in order",
+	})
+	Register(Scenario{
+		Name: "lease-holders", Duration: 20 * time.Second, Run: leaseHolders,
+		Summary: "ten processes, of which five vote, and two tasks, under faults drawn from the seed",
+	})
+	Register(Scenario{
+		Name: "lease-pause", Duration: 20 * time.Second, Run: leasePause,
+		Summary: "the holder is stopped for three terms between its look and its act, and goes on",
+	})
+	Register(Scenario{
+		Name: "lease-split", Duration: 20 * time.Second, Run: leaseSplit,
+		Summary: "the council of five is split 2 to 3, then 1 to 2 to 2; the leader is cut off from all but a client",
+	})
+	Register(Scenario{
+		Name: "lease-disk", Duration: 20 * time.Second, Run: leaseDisk,
+		Summary: "disks that are slow, full, fail once and are lost; a member that lost its own listens until it is replaced",
+	})
+	Register(Scenario{
+		Name: "task-slots", Duration: 20 * time.Second, Run: taskSlots,
+		Summary: "tasks of each effect whose answers get lost, while holders are killed, stopped and end in order",
+	})
+}
+
+func taskTOML(name, path, every, more string) string {
+	return fmt.Sprintf("[[tasks]]\nname = %q\npool = \"farm\"\npath = %q\nevery = %q\ndeadline = \"250ms\"\n%s", name, path, every, more)
+}
+
+// takeover notes how long nobody held a lease after its holder was hit.
+type takeover struct {
+	f    *fleet
+	took []time.Duration
+}
+
+// after waits until another process holds the lease, and notes how long that took from the moment of the fault.
+func (t *takeover) after(ctx context.Context, lease string, was int, at time.Time) error {
+	var next span
+	err := t.f.await(ctx, 10*time.Second, lease+" is held by another", func() bool {
+		for _, s := range t.f.holds(lease) {
+			if s.proc != was && s.from.After(at) {
+				next = s
+				return true
+			}
+		}
+		return false
+	})
+	if err == nil {
+		t.took = append(t.took, next.from.Sub(at))
+	}
+	return err
+}
+
+// measure notes the times beside their bound: the term, the drift of two clocks, one election and a tick.
+func (t *takeover) measure(name string, most time.Duration) {
+	if len(t.took) == 0 {
+		t.f.env.Broken("%s: nothing was taken over", name)
+		return
+	}
+	slices.Sort(t.took)
+	t.f.env.Measure(name+"_takeover_p50_s", t.took[len(t.took)/2].Seconds())
+	t.f.env.AtMost(name+"_takeover_most_s", t.took[len(t.took)-1].Seconds(), most.Seconds())
+}
+
+// usualTakeover is the bound after a holder was killed: a term by the slowest clock, counted anew by a new leader, an election of at most
+// twenty ticks, and some for the machine.
+const usualTakeover = tierTerm + tierTerm/10 + 20*tierTick + 500*time.Millisecond
+
+func leaseQuickstart(ctx context.Context, e *Env) error {
+	f, err := e.startFleet(ctx, fleetConfig{processes: 3, voters: 3, tasks: taskTOML("sweep", "/delivery-order/sweep", "100ms", "")})
+	if err != nil {
+		return err
+	}
+	const lease = "task/sweep"
+	e.Phase("three processes, one task", e.Duration)
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	from := time.Now()
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	table := f.table(load, lease)
+	killed, left := takeover{f: f}, takeover{f: f}
+	for n := 0; load.Err() == nil; n++ {
+		was := f.holder(lease)
+		if was < 0 {
+			if err := f.settle(ctx, lease); err != nil {
+				return err
+			}
+			continue
+		}
+		p := f.procs[was]
+		at := time.Now()
+		if n%2 == 0 {
+			f.note("%s holds it, and is killed", p.name)
+			p.end()
+			if err := killed.after(ctx, lease, was, at); err != nil {
+				return err
+			}
+		} else {
+			f.note("%s holds it, and ends in order", p.name)
+			p.mu.Lock()
+			p.up = false
+			p.mu.Unlock()
+			go p.prog.Stop()
+			if err := left.after(ctx, lease, was, at); err != nil {
+				return err
+			}
+			if err := p.prog.Stop(); err != nil {
+				return err
+			}
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+		pause(load, time.Second)
+	}
+	<-table
+	to := time.Now()
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed}, from, to)
+	killed.measure("killed", usualTakeover)
+	left.measure("left", time.Second)
+	f.stop()
+	return nil
+}
+
+// table shows on a terminal who holds what, until ctx ends.
+func (f *fleet) table(ctx context.Context, lease string) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		last := ""
+		for ctx.Err() == nil {
+			var row []string
+			for _, s := range f.holds(lease) {
+				if s.to.IsZero() {
+					row = append(row, fmt.Sprintf("%s by %d", f.procs[s.proc].name, s.token))
+				}
+			}
+			if now := strings.Join(row, ", "); now != last {
+				last = now
+				f.note("%s is held by: %s", lease, now)
+			}
+			pause(ctx, 50*time.Millisecond)
+		}
+	}()
+	return done
+}
+
+func leaseHolders(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 31))
+	f, err := e.startFleet(ctx, fleetConfig{
+		processes: 10, voters: 5,
+		tasks:  taskTOML("sweep", "/delivery-order/sweep", "50ms", "") + taskTOML("book", "/meter-booking/book", "70ms", "missed = \"skip\"\n"),
+		clocks: func(i int) float64 { return []float64{1, 1 - tierDrift, 1 + tierDrift, 1.02, 0.98}[i%5] },
+	})
+	if err != nil {
+		return err
+	}
+	faults, err := e.faults(drawFaults(rng, tierKinds, int(e.Duration/(700*time.Millisecond)), 10, e.Duration))
+	if err != nil {
+		return err
+	}
+	e.Phase("faults drawn from the seed", e.Duration)
+	from := time.Now()
+	f.play(ctx, faults)
+	to := time.Now()
+	for _, lease := range []string{"task/sweep", "task/book"} {
+		if err := f.settle(ctx, lease); err != nil {
+			return err
+		}
+	}
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed, "book": standin.Unsafe}, from, to)
+	f.stop()
+	return nil
+}
+
+func leasePause(ctx context.Context, e *Env) error {
+	f, err := e.startFleet(ctx, fleetConfig{processes: 5, voters: 3, tasks: taskTOML("sweep", "/delivery-order/sweep", "20ms", "")})
+	if err != nil {
+		return err
+	}
+	const lease = "task/sweep"
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	e.Phase("the holder is stopped for three terms, again and again", e.Duration)
+	from := time.Now()
+	t := takeover{f: f}
+	for began := time.Now(); time.Since(began) < e.Duration; {
+		was := f.holder(lease)
+		if was < 0 {
+			pause(ctx, 20*time.Millisecond)
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
+		at := time.Now()
+		p := f.procs[was]
+		f.note("%s holds it, and is stopped", p.name)
+		p.prog.Signal(syscall.SIGSTOP)
+		err := t.after(ctx, lease, was, at)
+		pause(ctx, 3*tierTerm-time.Since(at))
+		p.prog.Signal(syscall.SIGCONT)
+		f.note("%s goes on", p.name)
+		if err != nil {
+			return err
+		}
+		pause(ctx, 500*time.Millisecond)
+	}
+	to := time.Now()
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed}, from, to)
+	t.measure("stopped", usualTakeover)
+	f.stop()
+	return nil
+}
+
+func leaseSplit(ctx context.Context, e *Env) error {
+	f, err := e.startFleet(ctx, fleetConfig{processes: 7, voters: 5, tasks: taskTOML("sweep", "/delivery-order/sweep", "50ms", "")})
+	if err != nil {
+		return err
+	}
+	const lease = "task/sweep"
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	from := time.Now()
+	cut, join := func(w *standin.Way) { w.Cut = true }, func(w *standin.Way) { w.Cut = false }
+	part := e.Duration / 4
+	splits := []struct {
+		what string
+		side func(i int) int
+		most bool // one side has a majority
+	}{
+		{"2 to 3, clients with the majority", func(i int) int { return b2i(i >= 2) }, true},
+		{"1 to 2 to 2", func(i int) int { return []int{0, 1, 1, 2, 2, 1, 2}[i] }, false},
+		{"the leader with one client", func(i int) int { return b2i(i == f.leader() || i == 6) }, true},
+		{"3 to 2, the holder with the minority", func(i int) int { return b2i(i == f.holder(lease) || i == (f.holder(lease)+1)%5) }, true},
+	}
+	for _, s := range splits {
+		f.note("split %s", s.what)
+		e.Phase("split "+s.what, part)
+		sides := make([]int, len(f.procs))
+		for i := range sides {
+			sides[i] = s.side(i)
+		}
+		mend := f.each(func(a, b int) bool { return sides[a] != sides[b] }, cut, join)
+		at := time.Now()
+		pause(ctx, part*3/4)
+		held := f.holder(lease)
+		if s.most && held < 0 {
+			e.Broken("split %s: nobody holds %s after %v though a majority stands", s.what, lease, time.Since(at).Round(time.Millisecond))
+		}
+		if !s.most && held >= 0 {
+			e.Broken("split %s: %s holds %s %v later, though no majority stands", s.what, f.procs[held].name, lease, time.Since(at).Round(time.Millisecond))
+		}
+		mend()
+		if err := f.settle(ctx, lease); err != nil {
+			return err
+		}
+		pause(ctx, part/4)
+	}
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed}, from, time.Now())
+	f.stop()
+	return nil
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// leader is who leads the council by the newest word of the logs, 0 if none is known.
+func (f *fleet) leader() int {
+	best, term := 0, 0
+	for _, p := range f.procs {
+		for _, line := range p.prog.Lines() {
+			if Field(line, "msg") != "the council has a leader" {
+				continue
+			}
+			var t int
+			fmt.Sscan(Field(line, "term"), &t)
+			if t > term {
+				for _, q := range f.procs {
+					if q.name == Field(line, "leader") {
+						best, term = q.i, t
+					}
+				}
+			}
+		}
+	}
+	return best
+}
+
+func leaseDisk(ctx context.Context, e *Env) error {
+	f, err := e.startFleet(ctx, fleetConfig{processes: 5, voters: 3, tasks: taskTOML("sweep", "/delivery-order/sweep", "50ms", "")})
+	if err != nil {
+		return err
+	}
+	const lease = "task/sweep"
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	from := time.Now()
+	rng := rand.New(rand.NewPCG(e.Seed, 32))
+	part := e.Duration / 5
+	wrong := func(p *fleetProc, what string) {
+		f.note("the disk of %s: %s", p.name, what)
+		if err := os.WriteFile(p.disk, []byte(what), 0o600); err != nil {
+			e.Broken("%v", err)
+		}
+	}
+	e.Phase("a slow disk", part)
+	p := f.procs[rng.IntN(3)]
+	wrong(p, "slow 80ms")
+	pause(ctx, part)
+	os.Remove(p.disk)
+
+	e.Phase("a sync that fails once", part)
+	p = f.procs[rng.IntN(3)]
+	failed := p.prog.Count("no part in the council until its next start")
+	wrong(p, "fail")
+	if _, err := p.prog.Await(ctx, "no part in the council until its next start", failed+1); err != nil {
+		return err
+	}
+	pause(ctx, part/2)
+	f.note("%s starts again", p.name)
+	p.end()
+	if err := p.start(); err != nil {
+		return err
+	}
+	pause(ctx, part/2)
+
+	e.Phase("a full disk", part)
+	p = f.procs[rng.IntN(3)]
+	wrong(p, "full")
+	pause(ctx, part/2)
+	os.Remove(p.disk)
+	p.end()
+	if err := p.start(); err != nil {
+		return err
+	}
+	pause(ctx, part/2)
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+
+	e.Phase("a lost disk, and its seat replaced", part)
+	p = f.procs[rng.IntN(3)]
+	p.end()
+	if err := os.Rename(p.store, p.store+".lost"); err != nil {
+		return err
+	}
+	f.note("the disk of %s is lost", p.name)
+	if err := p.start(); err != nil {
+		return err
+	}
+	if _, err := p.prog.Await(ctx, "it listens and does not vote", 1); err != nil {
+		return err
+	}
+	others := f.procs[(p.i+1)%3]
+	s, err := f.status(others)
+	if err != nil {
+		return err
+	}
+	before := slices.Clone(s.Council.Voters)
+	if out, err := f.cli("tier", "member", "replace", p.name, others.addr, "--secret", f.secret); err != nil {
+		return fmt.Errorf("replace: %w: %s", err, out)
+	}
+	if err := f.await(ctx, 10*time.Second, "the new identity votes", func() bool {
+		s, err := f.status(others)
+		return err == nil && s.Council != nil && len(s.Council.Voters) == 3 && !slices.Equal(s.Council.Voters, before)
+	}); err != nil {
+		return err
+	}
+	f.note("%s votes again, with a new identity", p.name)
+
+	e.Phase("another's disk", part)
+	p = f.procs[rng.IntN(3)]
+	p.end()
+	other := f.procs[(p.i+1)%3]
+	if err := os.Rename(p.store, p.store+".own"); err != nil {
+		return err
+	}
+	data, err := os.ReadFile(other.store)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.store, data, 0o600); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	if _, err := p.prog.Await(ctx, "is the store of", 1); err != nil {
+		e.Broken("%s started with the store of %s", p.name, other.name)
+	}
+	p.end()
+	if err := os.Rename(p.store+".own", p.store); err != nil {
+		return err
+	}
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed}, from, time.Now())
+	f.stop()
+	return nil
+}
+
+func taskSlots(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 33))
+	f, err := e.startFleet(ctx, fleetConfig{
+		processes: 5, voters: 3,
+		tasks: taskTOML("keyed", "/delivery-order/keyed", "60ms", "missed = \"each\"\n") + taskTOML("unsafe", "/meter-booking/unsafe", "70ms", "missed = \"once\"\n") +
+			taskTOML("safe", "/allocation-check/safe", "80ms", "method = \"GET\"\nmissed = \"skip\"\n"),
+	})
+	if err != nil {
+		return err
+	}
+	tasks := map[string]standin.Effect{"keyed": standin.Keyed, "unsafe": standin.Unsafe, "safe": standin.Safe}
+	for name := range tasks {
+		if err := f.settle(ctx, "task/"+name); err != nil {
+			return err
+		}
+	}
+	e.Phase("answers get lost, and holders with them", e.Duration)
+	f.boxes[0].SetFault(standin.Fault{Kind: standin.Silent, Share: 0.1})
+	f.boxes[1].SetFault(standin.Fault{Kind: standin.Reset, Share: 0.1})
+	f.boxes[2].SetFault(standin.Fault{Kind: standin.Turned, Share: 0.1})
+	from := time.Now()
+	var all []TierFault
+	for i := range int(e.Duration / (2 * time.Second)) {
+		all = append(all, TierFault{
+			At: time.Duration(i) * 2 * time.Second, Kind: []string{"kill", "stop", "leave"}[rng.IntN(3)], P: rng.IntN(5),
+			For: 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*tierTerm))),
+		})
+	}
+	faults, err := e.faults(all)
+	if err != nil {
+		return err
+	}
+	f.play(ctx, faults)
+	for _, b := range f.boxes {
+		b.SetFault(standin.Fault{})
+	}
+	to := time.Now()
+	for name := range tasks {
+		if err := f.settle(ctx, "task/"+name); err != nil {
+			return err
+		}
+	}
+	pause(ctx, time.Second)
+	f.judge(tasks, from, to)
+	f.stop()
+	return nil
+}
--- a/internal/lab/program.go
+++ b/internal/lab/program.go
@@ -66,12 +66,18 @@
 }
 
 // Command starts the program with arguments.
-func (e *Env) Command(args ...string) (*Program, error) {
+func (e *Env) Command(args ...string) (*Program, error) { return e.CommandWith(nil, args...) }
+
+// CommandWith does the same with more in its environment.
+func (e *Env) CommandWith(env []string, args ...string) (*Program, error) {
 	if len(e.opts.Program) == 0 {
 		return nil, errors.New("lab: no program to start")
 	}
 	all := append(append([]string{}, e.opts.Program[1:]...), args...)
 	p := &Program{cmd: exec.Command(e.opts.Program[0], all...), env: e, more: make(chan struct{}), ended: make(chan struct{})}
+	if len(env) > 0 {
+		p.cmd.Env = append(os.Environ(), env...)
+	}
 	out, err := p.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -210,6 +216,22 @@
 	return p.err
 }
 
+// Signal sends the program a signal.
+func (p *Program) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Kill ends the program at once, stopped or not.
+func (p *Program) Kill() {
+	p.cmd.Process.Kill()
+	<-p.ended
+}
+
+// Lines are the lines of its log so far.
+func (p *Program) Lines() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lines[:len(p.lines):len(p.lines)]
+}
+
 // CPU is the processor time that the program has taken.
 func (p *Program) CPU() (time.Duration, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
--- /dev/null
+++ b/internal/standin/acts.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Acts is a resource that only one may act on at a time, and that looks at fencing tokens: what comes with an older one after a newer
+// is turned away. It counts what it sees, and judges afterwards.
+type Acts struct {
+	mu      sync.Mutex
+	newest  map[string]uint64          // tokens by resource
+	running map[string]map[uint64]int  // acts by resource and token
+	times   map[string][]time.Time     // of each accepted act's begin, by resource
+	done    map[string]int             // effects by slot
+	tokens  map[string]map[uint64]bool // that have acted, by resource
+	verdict ActsVerdict
+}
+
+// ActsVerdict is what a resource has seen.
+type ActsVerdict struct {
+	Acts        int // accepted
+	Refused     int // for their token
+	Overlapping int // accepted while one with another token was in work
+	Doubled     int // slots with more effects than one
+	Slots       int // slots with an effect
+	Tokens      int // different ones that have acted
+	First       string
+}
+
+// NewActs returns a resource that nobody has acted on.
+func NewActs() *Acts {
+	return &Acts{newest: map[string]uint64{}, running: map[string]map[uint64]int{}, times: map[string][]time.Time{}, done: map[string]int{}, tokens: map[string]map[uint64]bool{}}
+}
+
+// begin is called as an act comes to its work. A nil end turns it away.
+func (a *Acts) begin(q *http.Request) (end func()) {
+	token, err := strconv.ParseUint(q.Header.Get("Fencing-Token"), 10, 64)
+	if err != nil {
+		return func() {}
+	}
+	on := q.URL.Path
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if token < a.newest[on] {
+		a.verdict.Refused++
+		return nil
+	}
+	a.newest[on] = token
+	for other, n := range a.running[on] {
+		if other != token && n > 0 {
+			a.verdict.Overlapping++
+			if a.verdict.First == "" {
+				a.verdict.First = fmt.Sprintf("%s: an act with token %d while one with %d was in work", on, token, other)
+			}
+		}
+	}
+	if a.running[on] == nil {
+		a.running[on], a.tokens[on] = map[uint64]int{}, map[uint64]bool{}
+	}
+	a.running[on][token]++
+	a.tokens[on][token] = true
+	a.times[on] = append(a.times[on], time.Now())
+	a.verdict.Acts++
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.running[on][token]--
+	}
+}
+
+// effect notes that the work of a slot was done.
+func (a *Acts) effect(q *http.Request) {
+	if slot := q.Header.Get("Task-Slot"); slot != "" {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.done[slot]++
+	}
+}
+
+// Verdict is what has been seen. Doubled counts the slots of the classes named: for those that are safe to repeat it means nothing.
+func (a *Acts) Verdict(once func(slot string) bool) ActsVerdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := a.verdict
+	for slot, n := range a.done {
+		v.Slots++
+		if n > 1 && once(slot) {
+			v.Doubled++
+			if v.First == "" {
+				v.First = fmt.Sprintf("slot %s had %d effects", slot, n)
+			}
+		}
+	}
+	for _, tokens := range a.tokens {
+		v.Tokens += len(tokens)
+	}
+	return v
+}
+
+// Done reports whether a slot has had its effect.
+func (a *Acts) Done(slot string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.done[slot] > 0
+}
+
+// Gaps are the times between two acts on a resource, the longest first.
+func (a *Acts) Gaps(on string) []time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var all []time.Duration
+	for i := 1; i < len(a.times[on]); i++ {
+		all = append(all, a.times[on][i].Sub(a.times[on][i-1]))
+	}
+	slices.SortFunc(all, func(x, y time.Duration) int { return int(y - x) })
+	return all
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -90,6 +90,7 @@
 	Ledger   *Ledger
 	Answer   int // bytes of an answer, at least
 	Reports  Reports
+	Acts     *Acts // what requests with a fencing token act on, or nil
 }
 
 // Box is a stand-in for a server that does work. It listens on a loopback address.
@@ -300,9 +301,20 @@
 	b.slots <- struct{}{}
 	b.queued.Add(-1)
 	b.inWork.Add(1)
-	made := b.run(q, id, draw)
+	end := func() {}
+	if b.cfg.Acts != nil {
+		end = b.cfg.Acts.begin(q)
+	}
+	made := ""
+	if end != nil {
+		made = b.run(q, id, draw)
+		end()
+	}
 	b.inWork.Add(-1)
 	<-b.slots
+	if end == nil {
+		return b.answer(409, "", ""), true
+	}
 	switch f.Kind {
 	case Slow:
 		time.Sleep(f.Delay)
@@ -350,6 +362,9 @@
 		if b.cfg.Ledger != nil && effect != Safe {
 			b.cfg.Ledger.Effect(id)
 		}
+		if b.cfg.Acts != nil {
+			b.cfg.Acts.effect(q)
+		}
 	}
 	if effect == Keyed && key != "" {
 		b.cfg.Repeats.Once(class+" "+key, work)
--- a/internal/tier/seat.go
+++ b/internal/tier/seat.go
@@ -180,7 +180,7 @@
 	name := s.Key + "-" + strconv.FormatUint(s.Token, 10) + "-" + strconv.Itoa(s.Attempt)
 	header := http.Header{
 		"X-Request-Id": {name}, "X-Timeout-Ms": {strconv.FormatInt(max(1, deadline.Milliseconds()), 10)},
-		"Fencing-Token": {strconv.FormatUint(s.Token, 10)},
+		"Fencing-Token": {strconv.FormatUint(s.Token, 10)}, "Task-Slot": {s.Key},
 	}
 	if r.cfg.Effect == task.Keyed {
 		header.Set("Idempotency-Key", s.Key)
