--- a/internal/tier/seat.go
+++ b/internal/tier/seat.go
@@ -79,9 +79,7 @@
 	q := council.Request{Seat: &council.SeatCommand{Op: council.Admit, Name: t.cfg.Name, Store: t.store.Identity().Store}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leader == t.cfg.Name {
-		t.leader = ""
-	}
+	t.guide.Silence(now, t.cfg.Name) // no seat yet
 	t.call(&call{q: q, then: func(r council.Response) {
 		if r.Seat == nil {
 			return
@@ -246,7 +244,7 @@
 	now := t.clock.Now()
 	s := &Status{
 		Name: t.cfg.Name, Incarnation: t.keeper.Start(), Session: t.keeper.Session(), Superseded: t.keeper.Gone(), Holds: map[string]Held{},
-		Running: map[string]int64{}, Fleet: t.fleet, Leader: t.leader, LinkErrors: maps.Clone(t.linkErr),
+		Running: map[string]int64{}, Fleet: t.fleet, Leader: t.guide.Leader(), LinkErrors: maps.Clone(t.linkErr),
 	}
 	for _, name := range slices.Clone(t.keeper.Held(now)) {
 		if token, until, ok := t.keeper.Holding(now, name); ok {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -81,8 +81,7 @@
 	conns   map[*conn]struct{}
 	asks    map[uint64]*call
 	lastAsk uint64
-	leader  string
-	rotate  int
+	guide   *council.Guide
 	held    map[string]uint64 // as it was logged
 	leaving bool
 	refused int // connections turned away since that was logged
@@ -102,6 +101,8 @@
 	then func(council.Response) // called under mu
 	hops int
 	at   time.Duration
+	to   string // whom it went to last
+	late bool   // it was not answered in time
 }
 
 // seat is this process' part in the council. Only the council's goroutine has it.
@@ -130,7 +131,7 @@
 		cfg: cfg, log: log.With("tier", cfg.Name), clock: clock, secret: secret, inbox: make(chan func(*seat), inboxLen),
 		keeper: lease.NewKeeper(cfg.Rules, cfg.Name, uuid.NewString()), runners: map[string]*runner{}, links: map[string]*link{},
 		inward: map[string]*conn{}, conns: map[*conn]struct{}{}, asks: map[uint64]*call{}, held: map[string]uint64{}, linkErr: map[string]string{},
-		toldAt: -complainTime,
+		toldAt: -complainTime, guide: council.NewGuide(cfg.Council, len(cfg.Name), cfg.Rules.RenewEvery()),
 	}
 	t.ctx, t.stop = context.WithCancel(context.Background())
 	if cfg.Store != "" {
@@ -338,7 +339,11 @@
 		t.do(r, act)
 		at = min(at, next)
 	}
-	for handle, c := range t.asks { // those whose answer was lost
+	for handle, c := range t.asks { // those whose answer is late, or was lost
+		if !c.late && now > c.at+t.cfg.Rules.RenewEvery()/2 {
+			c.late = true
+			t.guide.Silence(now, c.to)
+		}
 		if now > c.at+t.cfg.Rules.Term {
 			delete(t.asks, handle)
 		}
@@ -412,15 +417,13 @@
 
 // pass sends a request to whom this process takes for the leader. The caller has mu.
 func (t *Tier) pass(handle uint64, c *call) {
-	to := t.leader
-	if to == "" {
-		to = t.cfg.Council[t.rotate%len(t.cfg.Council)]
-		t.rotate++
-	}
+	now := t.clock.Now()
+	to := t.guide.Pick(now)
+	c.to = to
 	if to == t.cfg.Name && t.store != nil {
 		q := c.q
 		if !t.tryPost(func(s *seat) { t.ask(s, q, func(r council.Response) { t.answered(handle, r) }) }) {
-			t.leader = ""
+			t.guide.Silence(now, to)
 		}
 		return
 	}
@@ -431,7 +434,7 @@
 	}
 	l := t.linkTo(to)
 	if l == nil || !l.send(kindAsk, data) {
-		t.leader = ""
+		t.guide.Silence(now, to)
 	}
 }
 
@@ -452,18 +455,16 @@
 		return
 	}
 	if r.Elsewhere {
-		t.leader = r.Leader
-		if r.Leader != "" && c.hops < mostHops {
+		if t.guide.Elsewhere(t.clock.Now(), c.to, r.Leader) && c.hops < mostHops {
 			c.hops++
 			t.pass(handle, c)
 			return
 		}
 		delete(t.asks, handle)
-		if c.hops >= 0 && c.q.Lease == nil && c.q.Slot == nil {
-			c.then(r)
-		}
+		c.then(r)
 		return
 	}
+	t.guide.Led(c.to)
 	delete(t.asks, handle)
 	c.then(r)
 	t.keep()
@@ -485,9 +486,7 @@
 	}, t.take, func(err error) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if t.leader == name {
-			t.leader = ""
-		}
+		t.guide.Silence(t.clock.Now(), name)
 		if t.linkErr[name] != err.Error() {
 			t.linkErr[name] = err.Error()
 			t.log.Warn("the link to a member is broken", "member", name, "err", err)
