lab tier-explore: thousands of seeds on all cores, failing runs shrunk, saved and replayed

Each core plays in a process of its own, since the log's library draws elections from one variable of the process. A failing run loses faults as long as it still fails.

--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -42,6 +43,7 @@
 	Tier    tierCmd    `cmd:"" help:"Found a fleet; ask a running process of its council, leases and tasks, and change them."`
 	Lab     labCmd     `cmd:"" help:"Play a scenario on loopback against stand-ins and check the four rules; exit 1 if one broke or a bound was missed."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	Worker  workerCmd  `cmd:"" name:"explore-worker" hidden:"" help:"Play seeds for 'lab tier-explore'."`
 	Proxy   proxyCmd   `cmd:"" hidden:"" help:"The plain reverse proxy that 'lab cost' compares with."`
 }
 
@@ -56,7 +58,7 @@
 func run(args []string, stdout, stderr io.Writer) int {
 	var c cli
 	exited := -1
-	parser, err := kong.New(&c, kong.Name("sorrelrudder"), kong.Writers(stdout, stderr),
+	parser, err := kong.New(&c, kong.Name("sorrelrudder"), kong.Writers(stdout, stderr), kong.Vars{"cores": strconv.Itoa(runtime.NumCPU())},
 		kong.Description("A gateway between applications and their services, built for large scale and for failure."),
 		kong.Exit(func(code int) { exited = code }), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
@@ -268,6 +270,10 @@
 	Duration time.Duration `help:"How long the load lasts; 0 for the scenario's usual time."`
 	JSON     bool          `help:"Print one JSON object in place of the table."`
 	Faults   string        `help:"Do the faults of this file to a fleet in place of drawn ones; --json prints them as it wants them."`
+	Seeds    uint64        `default:"1000" help:"tier-explore: how many seeds, from --seed on."`
+	Workers  int           `default:"${cores}" help:"tier-explore: how many processes play them."`
+	Plant    string        `help:"tier-explore: a mistake to plant, which it has to find."`
+	Replay   string        `help:"tier-explore: play this saved run, as a time line; -v with each message."`
 	Verbose  bool          `short:"v" help:"Show the program's log."`
 }
 
@@ -279,12 +285,18 @@
 		for _, sc := range lab.List() {
 			fmt.Fprintf(s.out, "%-16s %6s  %s\n", sc.Name, sc.Duration, sc.Summary)
 		}
+		fmt.Fprintf(s.out, "%-16s %6s  %s\n", "tier-explore", "", "fleets in virtual time under drawn faults, thousands of seeds; see --seeds, --plant, --replay")
 		return nil
 	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
+	if c.Scenario == "tier-explore" {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		return c.tierExplore(ctx, s, self)
+	}
 	o := lab.Options{Seed: c.Seed, Duration: c.Duration, Program: []string{self}, Faults: c.Faults}
 	if c.Verbose {
 		o.Log = s.err
--- /dev/null
+++ b/internal/explore/shrink.go
@@ -0,0 +1,22 @@
+package explore
+
+// Shrink takes faults away from a run that broke as long as it still breaks, whatever then breaks first. It plays at most most runs.
+func Shrink(o Options, broken Outcome, most int) Outcome {
+	best := broken
+	for size := max(1, len(best.Faults)/2); size >= 1 && most > 0; {
+		took := false
+		for at := 0; at < len(best.Faults) && most > 0; {
+			fewer := append(append([]Fault{}, best.Faults[:at]...), best.Faults[min(len(best.Faults), at+size):]...)
+			most--
+			if out := Run(Options{Seed: o.Seed, Plant: o.Plant, Faults: fewer}); out.Broken != "" {
+				best, took = out, true
+				continue
+			}
+			at += size
+		}
+		if !took || len(best.Faults) == 0 {
+			size /= 2
+		}
+	}
+	return best
+}
