--- /dev/null
+++ b/internal/task/task_test.go
@@ -0,0 +1,183 @@
+package task
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "sorrelrudder/internal/fixedseed"
+)
+
+// TestBook holds for every order of commands: a slot is begun anew only by a newer token that says a repeat does no harm, slots only
+// grow, and an older token changes nothing after a newer.
+func TestBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBook()
+		begun := map[int64]int{}
+		var newest uint64
+		var last int64
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			c := Command{
+				Op: rapid.SampledFrom([]Op{Begin, Begin, Finish, Call}).Draw(t, "op"), Task: "t", Slot: rapid.Int64Range(0, 5).Draw(t, "slot"),
+				Token: rapid.Uint64Range(0, 4).Draw(t, "token"), Again: rapid.Bool().Draw(t, "again"),
+				Outcome: rapid.SampledFrom([]Outcome{Done, Unknown, "odd"}).Draw(t, "outcome"),
+			}
+			before := b.Page("t")
+			r := b.Apply(c)
+			after := r.State
+			if r.Why != "" {
+				if before.Slot != after.Slot || before.Open != after.Open || before.Token != after.Token {
+					t.Fatalf("%+v was refused (%s), and changed %+v to %+v", c, r.Why, before, after)
+				}
+				continue
+			}
+			if c.Op == Call {
+				continue
+			}
+			if c.Token < newest {
+				t.Fatalf("%+v was taken after token %d", c, newest)
+			}
+			newest = c.Token
+			if after.Slot < last {
+				t.Fatalf("%+v: slot %d after %d", c, after.Slot, last)
+			}
+			last = after.Slot
+			if c.Op == Begin && !(before.Open && before.Slot == c.Slot && before.By == c.Token) {
+				if begun[c.Slot]++; begun[c.Slot] > 1 && !c.Again {
+					t.Fatalf("%+v: the slot was begun before", c)
+				}
+			}
+		}
+	})
+}
+
+func spec(e Effect, m Missed) Spec {
+	return Spec{Name: "t", Every: time.Second, Missed: m, Effect: e, Window: 10 * time.Second, Deadline: 300 * time.Millisecond, Tries: 2}
+}
+
+// TestSlotOfTheDead: what becomes of a slot whose process died is a matter of its effect, and of what this process knows of its age.
+func TestSlotOfTheDead(t *testing.T) {
+	page := Page{Token: 1, Slot: 5, Open: true, By: 1, Begun: 1}
+	wall := time.Unix(6, 0)
+	for name, c := range map[string]struct {
+		effect   Effect
+		unopened time.Duration
+		again    bool
+	}{
+		"safe":                        {Safe, -1, true},
+		"unsafe":                      {Unsafe, time.Millisecond, false},
+		"keyed, young":                {Keyed, 2 * time.Second, true},
+		"keyed, its key forgotten":    {Keyed, 9800 * time.Millisecond, false},
+		"keyed, of an age not known":  {Keyed, -1, false},
+		"keyed, just within the time": {Keyed, 9699 * time.Millisecond, true},
+	} {
+		s := spec(c.effect, Once)
+		step := s.Next(page, 2, wall, c.unopened)
+		if c.again != (step.Begin == 5 && step.Again) || c.again == (step.Finish == 5) {
+			t.Errorf("%s: %+v", name, step)
+		}
+	}
+}
+
+// TestMissed: what is done about slots that were due while nobody could do them.
+func TestMissed(t *testing.T) {
+	for name, c := range map[string]struct {
+		missed  Missed
+		page    Page
+		wall    time.Time
+		begin   int64
+		skipped int64
+	}{
+		"skip, in time":      {Skip, Page{Slot: 3}, time.Unix(9, 1e8), 9, 5},
+		"skip, too late":     {Skip, Page{Slot: 3}, time.Unix(9, 5e8), 0, 0},
+		"once, too late":     {Once, Page{Slot: 3}, time.Unix(9, 5e8), 9, 5},
+		"each":               {Each, Page{Slot: 3}, time.Unix(9, 5e8), 4, 0},
+		"each, far behind":   {Each, Page{Slot: 3}, time.Unix(1000, 0), 901, 897},
+		"the first ever":     {Each, Page{}, time.Unix(9, 5e8), 9, 0},
+		"done":               {Each, Page{Slot: 9}, time.Unix(9, 5e8), 0, 0},
+		"a clock behind":     {Each, Page{Slot: 12}, time.Unix(9, 5e8), 0, 0},
+		"called by somebody": {Skip, Page{Slot: 9, Called: true}, time.Unix(9, 9e8), 10, 0},
+	} {
+		s := spec(Safe, c.missed)
+		step := s.Next(c.page, 1, c.wall, -1)
+		if step.Begin != c.begin || step.Skipped != c.skipped {
+			t.Errorf("%s: %+v", name, step)
+		}
+		if step.Begin == 0 && !step.Until.After(c.wall) {
+			t.Errorf("%s: nothing to do, and nothing to wait for: %+v", name, step)
+		}
+	}
+}
+
+// TestRunnerSendsOnlyWhatIsBegun: no request goes out before the book has its slot, under the token of the lease in force, and nothing of it
+// after that ends.
+func TestRunnerSendsOnlyWhatIsBegun(t *testing.T) {
+	sent := 0
+	defer func() {
+		if sent == 0 {
+			t.Error("nothing was ever sent")
+		}
+	}()
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBook()
+		s := spec(Effect(rapid.IntRange(0, 2).Draw(t, "effect")), Once)
+		r := NewRunner(s, 100*time.Millisecond, 300*time.Millisecond)
+		var token uint64 = 1
+		until := 5 * time.Second
+		sends := map[int64]int{}
+		for now := time.Duration(0); now < 12*time.Second; now += time.Duration(rapid.IntRange(10, 120).Draw(t, "step")) * time.Millisecond {
+			if now > until || rapid.IntRange(0, 60).Draw(t, "another") == 37 {
+				// Another process has the lease for a while, and does a slot.
+				token++
+				p := b.Page("t")
+				if p.Open {
+					b.Apply(Command{Op: Finish, Task: "t", Slot: p.Slot, Token: token, Outcome: Unknown})
+				}
+				b.Apply(Command{Op: Begin, Task: "t", Slot: b.Page("t").Slot + 1, Token: token})
+				token++
+				until = now + 3*time.Second
+			}
+			a, _ := r.Next(now, time.Unix(1000, 0).Add(now), token, until)
+			lost := rapid.IntRange(0, 3).Draw(t, "lost") == 0
+			switch {
+			case a.Look && !lost:
+				r.Looked(now, r.LookedAt(), b.Page("t"))
+			case a.Command != nil:
+				res := b.Apply(*a.Command)
+				if !lost {
+					r.Answered(now, *a.Command, res, token)
+				}
+			case a.Send != nil:
+				p := b.Page("t")
+				if p.Slot == a.Send.Slot && (!p.Open || p.By != a.Send.Token) || a.Send.Deadline > until {
+					t.Fatalf("%+v goes out, and the book has %+v, until %v", a.Send, p, until)
+				}
+				outcome := rapid.SampledFrom([]Outcome{Done, Refused, Failed, Unknown}).Draw(t, "outcome")
+				if outcome != Refused {
+					if sends[a.Send.Slot]++; sends[a.Send.Slot] > 1 && s.Effect == Unsafe {
+						t.Fatalf("the unsafe slot %d may have run %d times", a.Send.Slot, sends[a.Send.Slot])
+					}
+				}
+				r.Sent(now, outcome, now+20*time.Millisecond)
+			}
+		}
+		sent += len(sends)
+	})
+}
+
+func TestSpecCheck(t *testing.T) {
+	for name, change := range map[string]func(*Spec){
+		"no name": func(s *Spec) { s.Name = "" }, "too often": func(s *Spec) { s.Every = 1 }, "no deadline": func(s *Spec) { s.Deadline = 0 },
+		"spread beyond": func(s *Spec) { s.Spread = 2 * time.Second }, "at beyond a day": func(s *Spec) { s.At = 25 * time.Hour },
+		"window within the deadline": func(s *Spec) { s.Effect, s.Window = Keyed, s.Deadline },
+	} {
+		s := spec(Safe, Once)
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if change(&s); s.Check() == nil {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
--- a/internal/tier/store.go
+++ b/internal/tier/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc32"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -53,8 +54,32 @@
 // ErrDamaged is a store that can't be trusted. Nothing of it is deleted.
 var ErrDamaged = errors.New("the store is damaged")
 
+// guarded reads a file that may be anything: one that ends too early faults where it is mapped, and one whose pages point astray
+// panics. Either is a damaged store, and no reason to end without a word.
+func guarded(path string, read func() error) (err error) {
+	was := debug.SetPanicOnFault(true)
+	defer debug.SetPanicOnFault(was)
+	defer func() {
+		if r := recover(); r != nil {
+			err = damaged(path, fmt.Errorf("reading it: %v", r))
+		}
+	}()
+	return read()
+}
+
 // OpenStore opens the store of the process of that name, and makes it where there is none.
-func OpenStore(path, name string) (*Store, error) {
+func OpenStore(path, name string) (s *Store, err error) {
+	err = guarded(path, func() error {
+		s, err = openStore(path, name)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func openStore(path, name string) (*Store, error) {
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 2 * time.Second, FreelistType: bbolt.FreelistMapType})
 	switch {
 	case errors.Is(err, berrors.ErrTimeout):
@@ -230,6 +255,14 @@
 
 // Load reads all that a node starts with.
 func (s *Store) Load() (v council.Saved, err error) {
+	err = guarded(s.path, func() error {
+		v, err = s.load()
+		return err
+	})
+	return v, err
+}
+
+func (s *Store) load() (v council.Saved, err error) {
 	err = s.db.View(func(tx *bbolt.Tx) error {
 		read := func(sealed []byte, m proto.Message) error {
 			data, err := unseal(sealed)
