--- a/internal/council/codec.go
+++ b/internal/council/codec.go
@@ -18,6 +18,14 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return nil, fmt.Errorf("council: message: %w", err)
 	}
+	for i, e := range m.GetEntries() {
+		if e == nil || i > 0 && e.GetIndex() != m.GetEntries()[i-1].GetIndex()+1 {
+			return nil, fmt.Errorf("council: message: its entries have gaps")
+		}
+	}
+	if m.GetType() == raftpb.MsgApp && len(m.GetEntries()) > 0 && m.GetEntries()[0].GetIndex() != m.GetIndex()+1 {
+		return nil, fmt.Errorf("council: message: its entries begin elsewhere")
+	}
 	return &m, nil
 }
 
--- a/internal/council/node.go
+++ b/internal/council/node.go
@@ -242,6 +242,7 @@
 
 // Tick tells that a tick has passed. The library counts ticks; leases end by the time.
 func (n *Node) Tick(now time.Duration) {
+	defer n.gives()
 	n.now = now
 	if n.failed != nil {
 		return
@@ -273,8 +274,17 @@
 	return n.names[id]
 }
 
+// gives turns a panic of the log's library into the end of this node's part: the library gives up where nothing safe can be done, and the
+// process has clients to serve.
+func (n *Node) gives() {
+	if r := recover(); r != nil && n.failed == nil {
+		n.failed = fmt.Errorf("council: the log's library gave up: %v", r)
+	}
+}
+
 // Step takes a message of another node. What is not for this identity is dropped.
 func (n *Node) Step(now time.Duration, m *raftpb.Message) error {
+	defer n.gives()
 	n.now = now
 	if n.failed != nil || m.GetTo() != n.cfg.ID || raft.IsLocalMsg(m.GetType()) {
 		return nil
@@ -381,7 +391,13 @@
 }
 
 // Work carries out what has come up, and returns what is to be sent. What is promised there is on the disk.
-func (n *Node) Work(now time.Duration, disk Disk) (Output, error) {
+func (n *Node) Work(now time.Duration, disk Disk) (out Output, err error) {
+	defer func() {
+		if n.failed != nil {
+			out, err = Output{}, n.failed
+		}
+	}()
+	defer n.gives()
 	n.now = now
 	if n.failed != nil {
 		return Output{}, n.failed
@@ -394,7 +410,7 @@
 		}
 		n.lead()
 	}
-	out := n.out
+	out = n.out
 	n.out = Output{}
 	return out, nil
 }
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -278,6 +278,9 @@
 	out, err := p.node.Work(p.councilClock(), p.disk)
 	if err != nil {
 		p.w.note("%s: %v", p.name, err)
+		if !errors.Is(err, errDisk) {
+			p.w.breaks("%s: %v", p.name, err)
+		}
 		p.kill()
 		p.w.after(700*time.Millisecond, p.start)
 		return
