--- a/internal/explore/observer.go
+++ b/internal/explore/observer.go
@@ -96,6 +96,7 @@
 		}
 		o.keys[s.Key] = w.now
 	}
+	w.note("slot %d is done", s.Slot)
 	o.ran[s.Slot] = append(o.ran[s.Slot], w.now)
 	w.counts["slots_done"]++
 	if n := len(o.ran[s.Slot]); n > 1 && w.spec.Effect != task.Safe {
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -472,8 +472,10 @@
 		})
 	case a.Command != nil:
 		c := *a.Command
+		p.w.note("%s asks: %s slot %d by %d %s", p.name, c.Op, c.Slot, c.Token, c.Outcome)
 		p.call(council.Request{Slot: &c}, func(r council.Response) {
 			if r.Slot != nil {
+				p.w.note("%s hears of %s slot %d: %s", p.name, c.Op, c.Slot, r.Slot.Why)
 				token, _, _ := p.keeper.Holding(p.clock(), "task/t")
 				p.runner.Answered(p.clock(), c, *r.Slot, token)
 				p.keep()
@@ -488,6 +490,7 @@
 func (p *proc) send(s task.Send) {
 	w := p.w
 	w.watch.sent(s)
+	w.note("%s sends slot %d by %d, attempt %d", p.name, s.Slot, s.Token, s.Attempt)
 	draw := w.net.IntN(100)
 	took := time.Duration(5+w.net.IntN(60)) * time.Millisecond
 	back := func(o task.Outcome, after time.Duration) {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -109,7 +109,7 @@
 	w.names = []leaseName{{"one", 1}, {"two", 2}}
 	w.spec = task.Spec{
 		Name: "t", Every: 400 * time.Millisecond, Missed: []task.Missed{task.Skip, task.Once, task.Each}[made.IntN(3)],
-		Effect: task.Effect(made.IntN(3)), Window: 4 * time.Second, Deadline: 300 * time.Millisecond, Tries: 2,
+		Effect: task.Effect(made.IntN(3)), Window: 4 * time.Second, Deadline: 300 * time.Millisecond, Tries: 2, Drift: drift,
 	}
 	w.watch = newObserver(w)
 	w.faults = o.Faults
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -121,7 +121,7 @@
 // Holding says whether the process may act on name now, with which fencing token, and until when.
 func (k *Keeper) Holding(now time.Duration, name string) (token uint64, until time.Duration, ok bool) {
 	token = k.holds[name]
-	if _, wanted := k.wants[name]; token == 0 || !wanted || now >= k.until {
+	if _, wanted := k.wants[name]; token == 0 || !wanted || k.closing || now >= k.until {
 		return 0, 0, false
 	}
 	return token, k.until, true
@@ -129,7 +129,7 @@
 
 // Held are the names that the process may act on now.
 func (k *Keeper) Held(now time.Duration) []string {
-	if now >= k.until {
+	if now >= k.until || k.closing {
 		return nil
 	}
 	return slices.Sorted(maps.Keys(k.holds))
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -336,6 +336,19 @@
 	}
 }
 
+// TestClosedActsNoMore: a listing that arrives while all is given up must not bring a lease back (found by tier-explore, seed 10122).
+func TestClosedActsNoMore(t *testing.T) {
+	k, m := holding(t, Rules{Term: 10 * time.Second})
+	a := ask(t, k, 0, "")
+	listing, _ := m.List(k.Session())
+	k.Close()
+	ask(t, k, 0, Close)
+	k.Answered(0, Answer{ID: a.ID, Listing: &listing})
+	if _, _, ok := k.Holding(0, "x"); ok || len(k.Held(0)) > 0 {
+		t.Error("it acts on what it has given up")
+	}
+}
+
 // TestSuperseded: the older of two processes of one name asks no more.
 func TestSuperseded(t *testing.T) {
 	k, _ := holding(t, Rules{Term: 10 * time.Second})
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -85,6 +85,7 @@
 	named := map[string]bool{}
 	for _, section := range s.tables("tasks") {
 		k := r.task(section, f.Gateway.Pools)
+		k.Drift = c.Rules.Drift
 		if named[k.Name] && k.Name != "" {
 			r.bad(section.at("name"), "task %q is there twice", k.Name)
 		}
--- a/internal/task/plan.go
+++ b/internal/task/plan.go
@@ -39,6 +39,13 @@
 	Window   time.Duration // Keyed: how long the servers remember a key
 	Deadline time.Duration // of each request
 	Tries    int           // requests for one slot, where a repeat does no harm
+	Drift    float64       // bounds how far each clock's rate is from true time
+}
+
+// Fresh is for how long after the newest moment at which a slot was surely not begun its key may be sent again, by this process' clock:
+// what is sent then may run as late as its deadline, and the servers must remember the first run even then.
+func (s *Spec) Fresh() time.Duration {
+	return time.Duration(float64(s.Window)*(1-s.Drift)/(1+s.Drift)) - s.Deadline
 }
 
 // Check says what is wrong with s.
@@ -104,8 +111,7 @@
 		case Safe:
 			again = true
 		case Keyed:
-			// What is sent now may run as late as its deadline; the servers must remember the first run even then.
-			again = unopened >= 0 && unopened+s.Deadline < s.Window
+			again = unopened >= 0 && unopened < s.Fresh()
 		}
 		if !again {
 			return Step{Finish: p.Slot}
--- a/internal/task/runner.go
+++ b/internal/task/runner.go
@@ -41,6 +41,7 @@
 	slot    int64 // that is being run here; 0: none
 	out     bool  // its request is out
 	sent    int
+	again   bool    // another has begun it before
 	outcome Outcome // to be written down
 	pause   time.Duration
 }
@@ -139,6 +140,11 @@
 	if now < r.pause {
 		return Action{}, r.pause
 	}
+	if r.again && r.spec.Effect == Keyed && now >= r.before+r.spec.Fresh() {
+		// The council's answer came late: by now the servers may have forgotten the key.
+		r.outcome = Unknown
+		return r.ask(now, Command{Op: Finish, Task: r.spec.Name, Slot: r.slot, Token: token, Outcome: r.outcome})
+	}
 	deadline := min(now+r.spec.Deadline, until)
 	if deadline <= now {
 		return Action{}, now + r.retry
@@ -189,7 +195,7 @@
 		r.known = false
 		r.nextLook = now
 	case token == c.Token:
-		r.slot, r.sent, r.outcome, r.pause = c.Slot, 0, "", 0
+		r.slot, r.sent, r.outcome, r.pause, r.again = c.Slot, 0, "", 0, c.Again
 	}
 	// A slot that was begun under a token that is gone stays open: nothing of it has been sent, but only this process knows, and
 	// whoever has the lease now treats it as one that may have run.
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -166,6 +166,31 @@
 	})
 }
 
+// TestKeyForgottenWhileAsking: that a key is fresh is looked at as the request goes out, and not only as its slot was begun (found by
+// tier-explore, seed 2540).
+func TestKeyForgottenWhileAsking(t *testing.T) {
+	s := spec(Keyed, Once)
+	r := NewRunner(s, 100*time.Millisecond, 300*time.Millisecond)
+	wall := time.Unix(1000, 0)
+	r.Next(0, wall, 0, 0)
+	r.Looked(0, 0, Page{Token: 1, Slot: 999, By: 1})
+	r.Next(400*time.Millisecond, wall, 0, 0)
+	open := Page{Token: 1, Slot: 1000, Open: true, By: 1, Begun: 1}
+	r.Looked(400*time.Millisecond, 400*time.Millisecond, open)
+	r.Next(500*time.Millisecond, wall, 2, time.Hour)
+	r.Looked(500*time.Millisecond, 500*time.Millisecond, open)
+	a, _ := r.Next(600*time.Millisecond, wall, 2, time.Hour)
+	if a.Command == nil || !a.Command.Again {
+		t.Fatalf("%+v", a)
+	}
+	begun := open
+	begun.By, begun.Begun, begun.Token = 2, 2, 2
+	r.Answered(s.Window, *a.Command, Result{State: begun}, 2) // the answer takes as long as the servers remember
+	if a, _ := r.Next(s.Window, wall, 2, time.Hour); a.Send != nil || a.Command == nil || a.Command.Outcome != Unknown {
+		t.Errorf("%+v", a)
+	}
+}
+
 func TestSpecCheck(t *testing.T) {
 	for name, change := range map[string]func(*Spec){
 		"no name": func(s *Spec) { s.Name = "" }, "too often": func(s *Spec) { s.Every = 1 }, "no deadline": func(s *Spec) { s.Deadline = 0 },
