--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -408,8 +408,15 @@
 	now := p.clock()
 	asks, at := p.keeper.Next(now)
 	for _, a := range asks {
+		began := p.w.now
+		if a.Command != nil {
+			if id := (firstAsk{p.i, a.Session, a.Command.Seq}); p.w.o.Ops && p.w.asked[id] == 0 {
+				p.w.asked[id] = began
+			}
+		}
 		p.call(council.Request{Lease: &a}, func(r council.Response) {
 			if r.Lease != nil {
+				p.w.remember(p.i, a, *r.Lease, began)
 				p.keeper.Answered(p.clock(), *r.Lease)
 				p.keep()
 			}
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -54,6 +54,7 @@
 	Faults []Fault   // in place of those that the seed draws, if not nil
 	Log    io.Writer // the run as lines, or nil
 	Trace  bool      // also each message
+	Ops    bool      // keep the history of the leases
 }
 
 // Outcome is what came of a run.
@@ -64,6 +65,35 @@
 	Faults []Fault            `json:"faults"`
 	Hash   uint64             `json:"hash"` // of all that happened, in order
 	Counts map[string]float64 `json:"counts"`
+	Ops    []Op               `json:"-"`
+}
+
+// Op is an operation on the leases as its process saw it: a grant with its token, or a look (Token 0) with the largest number that
+// the council had given.
+type Op struct {
+	Process      int
+	Began, Ended time.Duration
+	Token, Last  uint64
+}
+
+type firstAsk struct {
+	process      int
+	session, seq uint64
+}
+
+// remember keeps an operation. One that was asked several times began with the first of them.
+func (w *world) remember(process int, q lease.Ask, a lease.Answer, began time.Duration) {
+	switch {
+	case !w.o.Ops:
+	case q.Command == nil && a.Why == "":
+		w.ops = append(w.ops, Op{Process: process, Began: began, Ended: w.now, Last: a.Last})
+	case q.Command != nil && q.Command.Op == lease.Acquire && a.Result != nil && a.Result.Token != 0 && a.Result.Before != a.Result.Version:
+		id := firstAsk{process, q.Session, q.Command.Seq}
+		if first, had := w.asked[id]; had {
+			began = first
+		}
+		w.ops = append(w.ops, Op{Process: process, Began: began, Ended: w.now, Token: a.Result.Token})
+	}
 }
 
 // world is one run.
@@ -88,6 +118,8 @@
 	broken    string
 	brokenAt  time.Duration
 	counts    map[string]float64
+	ops       []Op
+	asked     map[firstAsk]time.Duration // when a command was asked first
 }
 
 type leaseName struct {
@@ -101,7 +133,7 @@
 	defer restore()
 	w := &world{
 		o: o, net: rand.New(rand.NewPCG(o.Seed, 1)), own: rand.New(rand.NewPCG(o.Seed, 2)), cut: map[[2]int]int{}, syncFails: map[int]bool{},
-		hash: fnv.New64a(), counts: map[string]float64{},
+		hash: fnv.New64a(), counts: map[string]float64{}, asked: map[firstAsk]time.Duration{},
 	}
 	made := rand.New(rand.NewPCG(o.Seed, 3))
 	w.voters = []int{1, 3, 3, 5, 5}[made.IntN(5)]
@@ -130,7 +162,7 @@
 		if r := recover(); r != nil {
 			w.breaks("panic: %v", r)
 		}
-		out = Outcome{Seed: o.Seed, Broken: w.broken, At: w.brokenAt, Faults: w.faults, Hash: w.hash.Sum64(), Counts: w.counts}
+		out = Outcome{Seed: o.Seed, Broken: w.broken, At: w.brokenAt, Faults: w.faults, Hash: w.hash.Sum64(), Counts: w.counts, Ops: w.ops}
 	}()
 	for played := 0; len(w.queue) > 0 && w.broken == ""; played++ {
 		if played > mostEvents {
