10,000 leases: ask in turn, wake only whom others changed, list only to who lacks it

BenchmarkAcquire with 10,000 names did not end within a minute: Keeper.Next looked at and sorted all names at each answer, each own grant woke its session, whose renewal then brought the whole listing, and the host compared all for its log.

--- a/internal/council/node.go
+++ b/internal/council/node.go
@@ -663,7 +663,7 @@
 			continue
 		}
 		a := lease.Answer{ID: w.ask.Lease.ID, Last: n.fleet.Leases.Last}
-		listing, why := n.fleet.Leases.List(w.ask.Lease.Session)
+		listing, why := n.fleet.Leases.List(w.ask.Lease.Session, w.ask.Lease.Have)
 		if why == "" && !n.lessor.Renew(n.now, w.ask.Lease.Session) {
 			why = lease.NoSession
 		}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -40,6 +40,8 @@
 	version  uint64
 	holds    map[string]uint64
 	wants    map[string]want
+	queue    []string // wanted names that are to be asked for; one may be there twice
+	changes  uint64
 	passing  map[string]string // names that are to be given up, and to whom; empty: to whoever waits
 	closing  bool
 	gone     bool // another process has the name
@@ -87,22 +89,32 @@
 func (k *Keeper) Want(name string, limit int) {
 	if _, had := k.wants[name]; !had {
 		k.wants[name] = want{limit: limit}
+		k.queue = append(k.queue, name)
 		delete(k.passing, name)
+		k.changes++
 	}
 }
 
+// Changes counts what may have changed Held beside the time.
+func (k *Keeper) Changes() uint64 { return k.changes }
+
+// Until is until when the session may be relied on, with all that it holds.
+func (k *Keeper) Until() time.Duration { return k.until }
+
 // Unwant gives up name, to the member named to or, if that is empty, to whoever waits. From now on the process may not act on it: what
 // it does about it must have ended.
 func (k *Keeper) Unwant(name, to string) {
 	if _, had := k.wants[name]; had {
 		delete(k.wants, name)
 		k.passing[name] = to
+		k.changes++
 	}
 }
 
 // Close gives up all at once and for good. What the process does about its leases must have ended.
 func (k *Keeper) Close() {
 	k.closing = true
+	k.changes++
 	clear(k.holds)
 }
 
@@ -157,10 +169,13 @@
 		clear(k.commands) // no other is of use any more
 		k.demand(closeName, Command{Op: Close})
 	default:
-		for _, name := range slices.Sorted(maps.Keys(k.wants)) {
-			if w := k.wants[name]; !w.placed {
-				k.demand(name, Command{Op: Acquire, Name: name, Limit: w.limit, Wait: true})
+		for len(k.queue) > 0 {
+			name := k.queue[0]
+			if w, wanted := k.wants[name]; wanted && !w.placed && k.commands[name] == nil &&
+				!k.demand(name, Command{Op: Acquire, Name: name, Limit: w.limit, Wait: true}) {
+				break // as much is out as may be
 			}
+			k.queue = k.queue[1:] // one that is being asked comes back with its answer
 		}
 		for _, name := range slices.Sorted(maps.Keys(k.passing)) {
 			to := k.passing[name]
@@ -209,13 +224,13 @@
 
 // demand begins to ask a command, unless one is being asked for that name, whose answer has to come first. The council forgets
 // answers by number, so that the oldest that is out bounds the newest.
-func (k *Keeper) demand(name string, c Command) {
+func (k *Keeper) demand(name string, c Command) bool {
 	if k.commands[name] != nil {
-		return
+		return false
 	}
 	for _, out := range k.commands {
 		if out.Op != Open && k.seq+1 >= out.Seq+answersKept/2 {
-			return
+			return false
 		}
 	}
 	if c.Op == Release || c.Op == Pass {
@@ -227,6 +242,8 @@
 		c.Seq = k.seq
 	}
 	k.commands[name] = &command{Command: c}
+	k.changes++
+	return true
 }
 
 func (k *Keeper) ask(now time.Duration, what asked, a Ask) Ask {
@@ -280,10 +297,12 @@
 func (k *Keeper) list(l Listing) {
 	k.version = l.Version
 	k.holds = made(maps.Clone(l.Holds))
-	for name, w := range k.wants {
-		if w.placed && k.holds[name] == 0 {
+	k.changes++
+	for _, name := range slices.Sorted(maps.Keys(k.wants)) {
+		if w := k.wants[name]; w.placed && k.holds[name] == 0 {
 			// Either it still waits, or the lease was revoked: asking again tells.
 			k.wants[name] = want{limit: w.limit}
+			k.queue = append(k.queue, name)
 		}
 	}
 	for name, c := range k.commands {
@@ -309,9 +328,11 @@
 	clear(k.commands)
 	clear(k.sent) // what is still to come concerns the old one
 	clear(k.passing)
-	for name, w := range k.wants {
-		k.wants[name] = want{limit: w.limit}
+	k.queue = slices.Sorted(maps.Keys(k.wants))
+	for _, name := range k.queue {
+		k.wants[name] = want{limit: k.wants[name].limit}
 	}
+	k.changes++
 	k.gone = why == Superseded
 }
 
@@ -322,6 +343,12 @@
 		return
 	}
 	delete(k.commands, what.name)
+	k.changes++
+	defer func() {
+		if w, wanted := k.wants[c.Name]; wanted && !w.placed {
+			k.queue = append(k.queue, c.Name)
+		}
+	}()
 	switch r.Why {
 	case NoSession, Superseded:
 		k.lost(r.Why)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -136,7 +136,7 @@
 	if r := m.Apply(old); r.Why != Forgotten {
 		t.Errorf("the late copy: %+v", r)
 	}
-	if _, why := m.List(next.Session); why != "" {
+	if _, why := m.List(next.Session, 0); why != "" {
 		t.Errorf("the session in force: %v", why)
 	}
 }
@@ -150,7 +150,7 @@
 	if r := m.Apply(Command{Op: Acquire, Session: newer, Seq: 1, Name: "x", Limit: 1, Wait: true}); r.Token != 0 || r.Place != 1 {
 		t.Errorf("the newer has it at once: %+v", r)
 	}
-	if _, why := m.List(older); why != Superseded {
+	if _, why := m.List(older, 0); why != Superseded {
 		t.Errorf("the older can be renewed: %v", why)
 	}
 	m.Apply(Command{Op: Expire, Session: older})
@@ -283,7 +283,7 @@
 		t.Fatal("it acts before its session was ever renewed")
 	}
 	renewal := ask(t, k, time.Second, "")
-	listing, _ := m.List(k.Session())
+	listing, _ := m.List(k.Session(), 0)
 	answer := Answer{ID: renewal.ID, Listing: &listing}
 	k.Answered(9*time.Second, answer)
 	_, until, ok := k.Holding(9*time.Second, "x")
@@ -300,7 +300,7 @@
 func TestReleaseEndsAtOnce(t *testing.T) {
 	k, m := holding(t, Rules{Term: 10 * time.Second})
 	renewal := ask(t, k, 0, "")
-	listing, _ := m.List(k.Session())
+	listing, _ := m.List(k.Session(), 0)
 	k.Answered(0, Answer{ID: renewal.ID, Listing: &listing})
 	if _, _, ok := k.Holding(0, "x"); !ok {
 		t.Fatal("not held")
@@ -329,7 +329,7 @@
 	k, m := holding(t, Rules{Term: 10 * time.Second})
 	m.Apply(Command{Op: Revoke, Name: "x"})
 	a := ask(t, k, 0, "")
-	listing, _ := m.List(k.Session())
+	listing, _ := m.List(k.Session(), 0)
 	k.Answered(0, Answer{ID: a.ID, Listing: &listing})
 	if _, _, ok := k.Holding(0, "x"); ok {
 		t.Error("it acts on a revoked lease")
@@ -340,7 +340,7 @@
 func TestClosedActsNoMore(t *testing.T) {
 	k, m := holding(t, Rules{Term: 10 * time.Second})
 	a := ask(t, k, 0, "")
-	listing, _ := m.List(k.Session())
+	listing, _ := m.List(k.Session(), 0)
 	k.Close()
 	ask(t, k, 0, Close)
 	k.Answered(0, Answer{ID: a.ID, Listing: &listing})
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -343,7 +343,6 @@
 	e.Holders = append(e.Holders, Hold{Session: id, Token: token})
 	s.Holds[name] = token
 	s.Version = token
-	m.touch(s)
 	return token
 }
 
@@ -357,6 +356,7 @@
 		e.Waiters = slices.DeleteFunc(e.Waiters, func(w uint64) bool { return w == id })
 	}
 	m.grant(e, name, id, s)
+	m.touch(s)
 }
 
 // serve gives free places to those that wait, and forgets a name that nobody has or wants.
@@ -368,6 +368,7 @@
 		s := m.Sessions[id]
 		delete(s.Waits, name)
 		m.grant(e, name, id, s)
+		m.touch(s) // who asks for itself hears of it by the answer
 	}
 	if len(e.Holders) == 0 && len(e.Waiters) == 0 {
 		delete(m.Names, name)
@@ -469,8 +470,8 @@
 	Holds   map[string]uint64 `json:"holds,omitempty"`
 }
 
-// List returns what a session holds; an error if it can't be renewed.
-func (m *Machine) List(session uint64) (Listing, Why) {
+// List returns what a session holds, without the leases if the asker has that version; a reason if it can't be renewed.
+func (m *Machine) List(session, have uint64) (Listing, Why) {
 	s := m.Sessions[session]
 	switch {
 	case s == nil:
@@ -478,5 +479,8 @@
 	case s.Superseded:
 		return Listing{}, Superseded
 	}
+	if s.Version == have {
+		return Listing{Version: have}, ""
+	}
 	return Listing{s.Version, maps.Clone(s.Holds)}, ""
 }
--- /dev/null
+++ b/internal/tier/bench_test.go
@@ -0,0 +1,122 @@
+package tier
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+)
+
+// BenchmarkAcquire has one of three processes take leases, one after the other and then many at once; the stores sync for real.
+func BenchmarkAcquire(b *testing.B) {
+	for _, names := range []int{1, 100, 10000} {
+		b.Run(fmt.Sprint(names, " names"), func(b *testing.B) {
+			cfgs := fleet(b, 3)
+			var all []*Tier
+			for _, cfg := range cfgs {
+				all = append(all, start(b, cfg, &servers{}))
+			}
+			defer func() {
+				for _, t := range all {
+					t.Close()
+				}
+			}()
+			holds := func(name string) bool {
+				_, _, ok := all[2].Holding(name)
+				return ok
+			}
+			held := func() int {
+				all[2].mu.Lock()
+				defer all[2].mu.Unlock()
+				return len(all[2].keeper.Held(all[2].clock.Now()))
+			}
+			all[2].Want("first", 1)
+			eventually(b, "the fleet stands", func() bool { return holds("first") })
+			for range b.N {
+				syncs := all[0].store.syncs.Load()
+				began := time.Now()
+				all[2].mu.Lock()
+				for i := range names {
+					all[2].keeper.Want(fmt.Sprint("many-", i), 1)
+				}
+				all[2].keep()
+				all[2].mu.Unlock()
+				for !holds(fmt.Sprint("many-", names-1)) && time.Since(began) < time.Minute {
+					time.Sleep(time.Millisecond)
+				}
+				if held() < names+1 {
+					b.Fatalf("%d of %d leases", held(), names+1)
+				}
+				took := time.Since(began)
+				b.ReportMetric(float64(names)/took.Seconds(), "leases/s")
+				b.ReportMetric(float64(all[0].store.syncs.Load()-syncs)/float64(names), "syncs/lease")
+				var one []time.Duration
+				for i := range 200 {
+					name := fmt.Sprint("one-", i)
+					at := time.Now()
+					all[2].Want(name, 1)
+					for !holds(name) && time.Since(at) < time.Second {
+						time.Sleep(50 * time.Microsecond)
+					}
+					one = append(one, time.Since(at))
+				}
+				slices.Sort(one)
+				b.ReportMetric(float64(one[100].Microseconds())/1000, "p50-ms")
+				b.ReportMetric(float64(one[197].Microseconds())/1000, "p99-ms")
+				runtime.GC()
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				b.ReportMetric(float64(m.HeapAlloc)/3/(1<<20), "heapMB/process")
+			}
+		})
+	}
+}
+
+// BenchmarkTraffic tells what a member of the council and one that only asks send a second, at rest, in fleets of several sizes.
+func BenchmarkTraffic(b *testing.B) {
+	for _, n := range []int{5, 50, 300} {
+		b.Run(fmt.Sprint(n, " members"), func(b *testing.B) {
+			cfgs := fleet(b, 5)
+			for i := 5; i < n; i++ {
+				cfg := cfgs[0]
+				cfg.Name, cfg.Store = fmt.Sprint("q", i), ""
+				cfgs[0].Members[cfg.Name] = freeAddr(b)
+				cfgs = append(cfgs, cfg)
+			}
+			var all []*Tier
+			for i := range cfgs {
+				cfgs[i].Rules.Term = 3 * time.Second
+				cfgs[i].Tick = 100 * time.Millisecond
+				all = append(all, start(b, cfgs[i], &servers{}))
+			}
+			defer func() {
+				for _, t := range all {
+					t.Close()
+				}
+			}()
+			for _, t := range all {
+				eventually(b, "all have sessions", func() bool {
+					t.mu.Lock()
+					defer t.mu.Unlock()
+					return t.keeper.Session() != 0
+				})
+			}
+			for range b.N {
+				count := func(ts []*Tier) (sum int64) {
+					for _, t := range ts {
+						sum += t.sent.bytes.Load()
+					}
+					return sum
+				}
+				seats, rest := count(all[:5]), count(all[5:])
+				const window = 5 * time.Second
+				time.Sleep(window)
+				b.ReportMetric(float64(count(all[:5])-seats)/5/window.Seconds()/1000, "kB/s/seat")
+				if n > 5 {
+					b.ReportMetric(float64(count(all[5:])-rest)/float64(n-5)/window.Seconds()/1000, "kB/s/other")
+				}
+			}
+		})
+	}
+}
--- a/internal/tier/link.go
+++ b/internal/tier/link.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -72,8 +73,12 @@
 	mine, hers []byte // keys of what goes out and what comes in
 	peer       hello
 	mu         sync.Mutex // of writing
+	sent       *traffic
 }
 
+// traffic counts what a process has sent to others.
+type traffic struct{ frames, bytes atomic.Int64 }
+
 func (c *conn) write(kind byte, payload []byte) error {
 	head := binary.BigEndian.AppendUint32(nil, uint32(1+len(payload)+tagLen))
 	head = append(head, kind)
@@ -83,6 +88,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
 		return err
 	}
+	if c.sent != nil {
+		c.sent.frames.Add(1)
+		c.sent.bytes.Add(int64(len(head) + len(payload) + len(tag)))
+	}
 	buffers := net.Buffers{head, payload, tag}
 	_, err := buffers.WriteTo(c.Conn)
 	return err
@@ -225,6 +234,7 @@
 	queue   chan frame
 	take    func(*conn, byte, []byte)
 	told    func(error) // of a connection that could not be made or broke
+	sent    *traffic
 }
 
 func newLink(address string, secret []byte, me func() hello, take func(*conn, byte, []byte), told func(error)) *link {
@@ -264,6 +274,7 @@
 			continue
 		}
 		pause = 0
+		c.sent = l.sent
 		l.carry(ctx, c, f)
 	}
 }
--- a/internal/tier/seat.go
+++ b/internal/tier/seat.go
@@ -227,6 +227,9 @@
 	Fleet       string               `json:"fleet,omitempty"`
 	Leader      string               `json:"leader,omitempty"`
 	LinkErrors  map[string]string    `json:"link_errors,omitempty"`
+	SentFrames  int64                `json:"sent_frames"`
+	SentBytes   int64                `json:"sent_bytes"`
+	Syncs       int64                `json:"syncs,omitempty"`   // of the store, since the start
 	Council     *council.State       `json:"council,omitempty"` // at those that have a seat
 	Failed      string               `json:"failed,omitempty"`
 	Tasks       map[string]task.Page `json:"tasks,omitempty"`
@@ -245,6 +248,10 @@
 	s := &Status{
 		Name: t.cfg.Name, Incarnation: t.keeper.Start(), Session: t.keeper.Session(), Superseded: t.keeper.Gone(), Holds: map[string]Held{},
 		Running: map[string]int64{}, Fleet: t.fleet, Leader: t.guide.Leader(), LinkErrors: maps.Clone(t.linkErr),
+		SentFrames: t.sent.frames.Load(), SentBytes: t.sent.bytes.Load(),
+	}
+	if t.store != nil {
+		s.Syncs = t.store.syncs.Load()
 	}
 	for _, name := range slices.Clone(t.keeper.Held(now)) {
 		if token, until, ok := t.keeper.Holding(now, name); ok {
--- a/internal/tier/store.go
+++ b/internal/tier/store.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,6 +50,7 @@
 	path   string
 	id     Identity
 	faults string // file of the laboratory's, or empty
+	syncs  atomic.Int64
 }
 
 // ErrDamaged is a store that can't be trusted. Nothing of it is deleted.
@@ -198,6 +200,7 @@
 	if !sync {
 		return nil
 	}
+	s.syncs.Add(1)
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		state, entries := tx.Bucket(stateBucket), tx.Bucket(entryBucket)
 		write := func(b *bbolt.Bucket, key []byte, m proto.Message) error {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -53,7 +53,9 @@
 	leastSecret  = 16
 	closeTime    = 3 * time.Second
 	operatorName = "operator"
-	complainTime = time.Second // between two lines on connections that were turned away
+	manyLeases   = 256
+	tellEvery    = 200 * time.Millisecond // with many leases
+	complainTime = time.Second            // between two lines on connections that were turned away
 )
 
 // Tier is one process' part.
@@ -66,6 +68,7 @@
 	ln     net.Listener
 	sender Sender
 	fleet  string // of the store, once it is known
+	sent   traffic
 
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -73,20 +76,23 @@
 	inbox chan func(*seat)
 	timer *time.Timer
 
-	mu      sync.Mutex
-	keeper  *lease.Keeper
-	runners map[string]*runner
-	links   map[string]*link
-	inward  map[string]*conn // by the peer's name, the newest
-	conns   map[*conn]struct{}
-	asks    map[uint64]*call
-	lastAsk uint64
-	guide   *council.Guide
-	held    map[string]uint64 // as it was logged
-	leaving bool
-	refused int // connections turned away since that was logged
-	toldAt  time.Duration
-	linkErr map[string]string
+	mu       sync.Mutex
+	keeper   *lease.Keeper
+	runners  map[string]*runner
+	links    map[string]*link
+	inward   map[string]*conn // by the peer's name, the newest
+	conns    map[*conn]struct{}
+	asks     map[uint64]*call
+	lastAsk  uint64
+	guide    *council.Guide
+	held     map[string]uint64 // as it was logged
+	leaving  bool
+	toldOf   uint64 // keeper's changes that were told
+	lapsed   bool   // the session had, then
+	lookedAt time.Duration
+	refused  int // connections turned away since that was logged
+	toldAt   time.Duration
+	linkErr  map[string]string
 }
 
 type runner struct {
@@ -353,6 +359,12 @@
 
 // tell logs what has changed of what this process holds. The caller has mu.
 func (t *Tier) tell(now time.Duration) {
+	// With many leases each look costs.
+	n, lapsed := t.keeper.Changes(), now >= t.keeper.Until()
+	if n == t.toldOf && lapsed == t.lapsed || len(t.held) > manyLeases && now < t.lookedAt+tellEvery {
+		return
+	}
+	t.toldOf, t.lapsed, t.lookedAt = n, lapsed, now
 	held := map[string]uint64{}
 	for _, name := range t.keeper.Held(now) {
 		if token, _, ok := t.keeper.Holding(now, name); ok {
@@ -492,6 +504,7 @@
 			t.log.Warn("the link to a member is broken", "member", name, "err", err)
 		}
 	})
+	l.sent = &t.sent
 	t.links[name] = l
 	t.done.Go(func() { l.run(t.ctx) })
 	return l
@@ -566,6 +579,7 @@
 		t.complain(raw.RemoteAddr().String(), err)
 		return
 	}
+	c.sent = &t.sent
 	t.mu.Lock()
 	t.conns[c] = struct{}{}
 	t.inward[c.peer.Name] = c
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -29,7 +29,7 @@
 
 const patience = 20 * time.Second
 
-func eventually(t *testing.T, what string, is func() bool) {
+func eventually(t testing.TB, what string, is func() bool) {
 	t.Helper()
 	for until := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(until) {
@@ -57,7 +57,7 @@
 	return len(s.seen)
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,7 +67,7 @@
 	return ln.Addr().String()
 }
 
-func secretFile(t *testing.T) string {
+func secretFile(t testing.TB) string {
 	t.Helper()
 	name := filepath.Join(t.TempDir(), "secret")
 	if err := os.WriteFile(name, []byte("0123456789abcdef"), 0o600); err != nil {
@@ -79,7 +79,7 @@
 func quietLog() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 // fleet makes the configurations of n processes, of which all vote, founded by the first.
-func fleet(t *testing.T, n int, tasks ...Task) []Config {
+func fleet(t testing.TB, n int, tasks ...Task) []Config {
 	t.Helper()
 	dir, secret := t.TempDir(), secretFile(t)
 	members := map[string]string{}
@@ -111,7 +111,7 @@
 	return all
 }
 
-func start(t *testing.T, cfg Config, s Sender) *Tier {
+func start(t testing.TB, cfg Config, s Sender) *Tier {
 	t.Helper()
 	tr, err := New(cfg, quietLog())
 	if err != nil {
