--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -201,6 +201,17 @@
 	return nil
 }
 
+// ready waits until the process takes part: before, a signal that ends it in order finds nobody who listens for it.
+func (p *fleetProc) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	p.mu.Lock()
+	prog := p.prog
+	p.mu.Unlock()
+	_, err := prog.Await(ctx, "the tier is up", 1)
+	return err
+}
+
 // end ends the process at once.
 func (p *fleetProc) end() {
 	p.mu.Lock()
@@ -467,6 +478,10 @@
 		p.up = false
 		p.mu.Unlock()
 		if was {
+			if err := p.ready(ctx); err != nil {
+				f.env.Broken("%s is not ready: %v", p.name, err)
+				return
+			}
 			if err := prog.Stop(); err != nil {
 				f.env.Broken("%s ended with %v", p.name, err)
 			}
@@ -534,6 +549,9 @@
 		if err := p.start(); err != nil {
 			return err
 		}
+		if err := p.ready(ctx); err != nil {
+			return err
+		}
 	}
 	if err := f.await(ctx, 15*time.Second, lease+" is held", func() bool { return f.holder(lease) >= 0 }); err != nil {
 		return fmt.Errorf("%w: %w", errNotWhole, err)
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,9 +58,14 @@
 	return len(s.seen)
 }
 
+// addresses counts those that were handed out.
+var addresses atomic.Int32
+
+// freeAddr is on a loopback address of its own: connections that go out may take any free port of the usual one meanwhile.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", n/200, 1+n%200))
 	if err != nil {
 		t.Fatal(err)
 	}
