tier lease hold for scripts: three at a time; all processes killed at once in the rig and the explorer

Patching three hosts at a time is a lease with a limit of three, held by a script for as long as it works.

--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -25,6 +28,7 @@
 	Leases  tierLeases    `cmd:"" help:"Who holds and who waits for what."`
 	Tasks   tierTasks     `cmd:"" help:"What became of the tasks' slots."`
 	Lease   struct {
+		Hold   tierHold   `cmd:"" help:"Hold a lease until SIGTERM or SIGINT: print its token once it is held. Exit 1 if it is lost. For scripts, as patching three hosts at a time."`
 		Revoke tierRevoke `cmd:"" help:"Take a lease from its holder: it is free once the holder has surely stopped."`
 	} `cmd:"" help:"Change a lease."`
 	Task struct {
@@ -278,3 +282,28 @@
 		return err
 	})
 }
+
+type tierHold struct {
+	Name string `arg:"" help:"The lease."`
+	asking
+	Limit int           `default:"1" help:"How many may hold it at once; all that ask must say the same."`
+	Term  time.Duration `default:"3s" help:"The fleet's term, as its file has it."`
+	Drift float64       `default:"0.01" help:"The fleet's bound on clocks."`
+}
+
+func (c *tierHold) Run(s *streams) error {
+	r := lease.Rules{Term: c.Term, Drift: c.Drift, Guard: 50 * time.Millisecond}
+	if err := r.Check(); err != nil {
+		return fmt.Errorf("%w: %w", errDay, err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	connecting, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	o, err := tier.Connect(connecting, c.Address, c.Secret)
+	if err != nil {
+		return err
+	}
+	defer o.Close()
+	return o.Hold(ctx, c.Name, c.Limit, r, func(token uint64) { fmt.Fprintln(s.out, token) })
+}
--- a/internal/explore/fault.go
+++ b/internal/explore/fault.go
@@ -26,6 +26,7 @@
 	Sync    Kind = "sync"    // the next sync of a process' disk fails
 	Revoke  Kind = "revoke"  // an operator revokes a lease
 	Leave   Kind = "leave"   // a process ends in order, and starts again after a while
+	KillAll Kind = "killall" // all processes end at once, and start again one after the other
 	Replace Kind = "replace" // an operator has the new identity of a process vote
 )
 
@@ -68,8 +69,10 @@
 			f.Kind = Storm
 		case d < 91:
 			f.Kind, f.P = Sync, rng.IntN(voters)
-		case d < 95:
+		case d < 94:
 			f.Kind = Revoke
+		case d < 96:
+			f.Kind = KillAll
 		default:
 			// Of a council that has lost the disks of most nobody can know any more what was promised: that is not played.
 			if wiped >= (voters-1)/2 {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -262,6 +262,11 @@
 			p.stores++
 		}
 		w.after(f.For, p.start)
+	case KillAll:
+		for i, q := range w.procs {
+			q.kill()
+			w.after(f.For/4+time.Duration(i)*50*time.Millisecond, q.start)
+		}
 	case Leave:
 		p.deliver(p.leave)
 		w.after(f.For+time.Second, p.start)
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -379,7 +379,7 @@
 	return fmt.Sprintf("%s p%d q%d for %v share %.2f", t.Kind, t.P+1, t.Q+1, t.For.Round(time.Millisecond), t.Share)
 }
 
-var tierKinds = []string{"kill", "stop", "cut", "oneway", "still", "split", "loss", "storm", "truncate", "leave", "slowdisk"}
+var tierKinds = []string{"kill", "stop", "cut", "oneway", "still", "split", "loss", "storm", "truncate", "leave", "slowdisk", "killall"}
 
 // drawFaults draws n faults of the kinds over a time.
 func drawFaults(rng *rand.Rand, kinds []string, n, processes int, over time.Duration) []TierFault {
@@ -471,6 +471,15 @@
 			f.env.Broken("%s does not start: %v", p.name, err)
 		}
 		return
+	case "killall":
+		f.kill()
+		rest()
+		for _, q := range f.procs {
+			if err := q.start(); err != nil {
+				f.env.Broken("%s does not start: %v", q.name, err)
+			}
+		}
+		return
 	case "leave":
 		p.mu.Lock()
 		prog := p.prog
--- a/internal/tier/operate.go
+++ b/internal/tier/operate.go
@@ -8,7 +8,10 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
+
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/lease"
 )
 
 func contextFor(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
@@ -74,6 +77,7 @@
 
 // Ask asks the council, by the process' own ways.
 func (o *Operator) Ask(ctx context.Context, q council.Request) (council.Response, error) {
+	defer o.c.SetReadDeadline(time.Time{})
 	a, err := o.ask(ctx, q)
 	if err == nil && a.Response.Elsewhere {
 		err = ErrNoCouncil
@@ -89,3 +93,56 @@
 	}
 	return a.Status, err
 }
+
+// Hold takes a lease for whoever calls it, as a process of the fleet would: it calls held with the token each time that it has it, and
+// returns once ctx ends, after it has given the lease up, or with an error once the lease was lost. Of limit holders there may be at
+// once; all must name the same.
+func (o *Operator) Hold(ctx context.Context, name string, limit int, r lease.Rules, held func(token uint64)) error {
+	clock, err := NewClock()
+	if err != nil {
+		return err
+	}
+	k := lease.NewKeeper(r, operatorName+"/"+uuid.NewString(), uuid.NewString())
+	k.Want(name, limit)
+	has := uint64(0)
+	for {
+		now := clock.Now()
+		if ctx.Err() != nil {
+			k.Close()
+		}
+		if k.Closed() || ctx.Err() != nil && k.Session() == 0 {
+			return nil
+		}
+		asks, at := k.Next(now)
+		for _, a := range asks {
+			asking, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.Term)
+			res, err := o.Ask(asking, council.Request{Lease: &a})
+			cancel()
+			if err != nil && !errors.Is(err, ErrNoCouncil) {
+				return err
+			}
+			if res.Lease != nil {
+				k.Answered(clock.Now(), *res.Lease)
+			}
+		}
+		token, _, ok := k.Holding(clock.Now(), name)
+		switch {
+		case has != 0 && (!ok || token != has) && ctx.Err() == nil:
+			return fmt.Errorf("the lease %q is lost", name)
+		case ok && has == 0:
+			has = token
+			held(token)
+		}
+		wait := min(clock.Real(at-clock.Now()), r.RenewEvery()/4)
+		if len(asks) > 0 {
+			wait = 0 // its answer may want more to be asked
+		}
+		select {
+		case <-time.After(max(wait, time.Millisecond)):
+		case <-ctx.Done():
+			if wait > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -448,3 +448,69 @@
 		n.Step(0, m)
 	})
 }
+
+// TestHoldForScripts: of three that want a lease of two, the third has it once one of the others has given it up.
+func TestHoldForScripts(t *testing.T) {
+	cfgs := fleet(t, 1)
+	tr := start(t, cfgs[0], &servers{})
+	defer tr.Close()
+	type holder struct {
+		token chan uint64
+		end   context.CancelFunc
+		err   chan error
+	}
+	var all []holder
+	for range 3 {
+		ctx, cancel := context.WithCancel(context.Background())
+		o, err := Connect(ctx, tr.Addr(), cfgs[0].Secret)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := holder{make(chan uint64, 1), cancel, make(chan error, 1)}
+		go func() {
+			defer o.Close()
+			h.err <- o.Hold(ctx, "patch", 2, cfgs[0].Rules, func(token uint64) { h.token <- token })
+		}()
+		all = append(all, h)
+	}
+	var tokens []uint64
+	next := func() (token uint64, who int) {
+		select {
+		case token = <-all[0].token:
+		case token = <-all[1].token:
+			who = 1
+		case token = <-all[2].token:
+			who = 2
+		case <-time.After(patience):
+			t.Fatal("nobody gets the lease")
+		}
+		return token, who
+	}
+	first, who := next()
+	second, _ := next()
+	tokens = append(tokens, first, second)
+	select {
+	case token := <-all[0].token:
+		t.Errorf("a third has it, by %d", token)
+	case token := <-all[1].token:
+		t.Errorf("a third has it, by %d", token)
+	case token := <-all[2].token:
+		t.Errorf("a third has it, by %d", token)
+	case <-time.After(2 * cfgs[0].Rules.Term):
+	}
+	all[who].end()
+	if err := <-all[who].err; err != nil {
+		t.Error(err)
+	}
+	if third, _ := next(); third <= max(tokens[0], tokens[1]) {
+		t.Errorf("token %d after %v", third, tokens)
+	}
+	for i, h := range all {
+		h.end()
+		if i != who {
+			if err := <-h.err; err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
