--- a/internal/lab/lease.go
+++ b/internal/lab/lease.go
@@ -270,7 +270,7 @@
 		}
 		mend := f.each(func(a, b int) bool { return sides[a] != sides[b] }, cut, join)
 		at := time.Now()
-		pause(ctx, part*3/4)
+		pause(ctx, max(part*3/4, usualTakeover)) // before, nobody need have it
 		held := f.holder(lease)
 		if s.most && held < 0 {
 			e.Broken("split %s: nobody holds %s after %v though a majority stands", s.what, lease, time.Since(at).Round(time.Millisecond))
