--- a/internal/lab/tiercost.go
+++ b/internal/lab/tiercost.go
@@ -39,7 +39,9 @@
 	}
 	leader := f.procs[f.leader()].prog
 	part := e.Duration / (2 * tierRounds)
+	crowds := 0
 	per := func(p *Program) (float64, error) {
+		crowds++
 		before, err := p.CPU()
 		if err != nil {
 			return 0, err
@@ -47,7 +49,7 @@
 		load, cancel := context.WithTimeout(ctx, part)
 		defer cancel()
 		crowd := standin.RunClients(load, standin.ClientConfig{
-			Name: "farm", Addr: p.Addr("farm"), Host: "farm.example.org", Rate: 500, Tries: 1, Classes: []standin.ClassLoad{allocationCheck}, Ledger: ledger, Seed: e.Seed,
+			Name: fmt.Sprint("farm", crowds), Addr: p.Addr("farm"), Host: "farm.example.org", Rate: 500, Tries: 1, Classes: []standin.ClassLoad{allocationCheck}, Ledger: ledger, Seed: e.Seed,
 		})
 		after, err := p.CPU()
 		if err != nil || crowd.Ops() == 0 {
--- a/internal/tier/operate.go
+++ b/internal/tier/operate.go
@@ -75,14 +75,23 @@
 // ErrNoCouncil is what a process says that reaches no leader of the council.
 var ErrNoCouncil = errors.New("the council has no leader that this process reaches: it has lost its majority, or elects one just now")
 
-// Ask asks the council, by the process' own ways.
+// askPause is between two tries of an operator's request while the council elects a leader.
+const askPause = 100 * time.Millisecond
+
+// Ask asks the council, by the process' own ways, until ctx ends: while a leader is elected there is nobody to answer.
 func (o *Operator) Ask(ctx context.Context, q council.Request) (council.Response, error) {
 	defer o.c.SetReadDeadline(time.Time{})
-	a, err := o.ask(ctx, q)
-	if err == nil && a.Response.Elsewhere {
-		err = ErrNoCouncil
+	for {
+		a, err := o.ask(ctx, q)
+		if err != nil || !a.Response.Elsewhere {
+			return a.Response, err
+		}
+		select {
+		case <-ctx.Done():
+			return a.Response, ErrNoCouncil
+		case <-time.After(askPause):
+		}
 	}
-	return a.Response, err
 }
 
 // Status asks the process what it knows itself.
