A task no longer stands still when its begin is answered while the lease has lapsed

The answer to a begin came while the session had lapsed for a moment and was renewed later under the same token: the book had the slot open by this process, which took it for running. It is sent then. Since that makes an old page dangerous (one read before the finish, arriving after it), pages bear a revision.

--- a/internal/explore/observer.go
+++ b/internal/explore/observer.go
@@ -16,6 +16,7 @@
 	ran    map[int64][]time.Duration // when a slot's request was done, as the servers tell after dropping repeats
 	keys   map[string]time.Duration  // when servers first saw a key
 	sends  map[int64]int
+	sentAt time.Duration // the newest request of a slot
 	lastAt time.Duration
 }
 
@@ -84,6 +85,7 @@
 
 func (o *observer) sent(s task.Send) {
 	o.sends[s.Slot]++
+	o.sentAt = o.w.now
 	o.w.counts["slots_sent"]++
 }
 
@@ -146,6 +148,9 @@
 			w.breaks("%d hold %q at the end, where %d may and more want", holders, n.name, n.limit)
 		}
 	}
+	if idle := w.now - o.sentAt; idle > 3*time.Second {
+		w.breaks("no slot was sent in the last %v, and one is due every %v", idle, w.spec.Every)
+	}
 	done := int64(0)
 	for range o.ran {
 		done++
--- a/internal/task/book.go
+++ b/internal/task/book.go
@@ -66,6 +66,7 @@
 
 // Page is what the book has of one task.
 type Page struct {
+	Rev     uint64            `json:"rev"`   // grows with each change: of two pages the one with the larger is the newer
 	Token   uint64            `json:"token"` // the largest that has written here
 	Slot    int64             `json:"slot"`  // the newest that was begun
 	Open    bool              `json:"open"`  // it is not finished
@@ -129,6 +130,7 @@
 			return NotBegun
 		}
 		p.Called = true
+		p.Rev++
 		return ""
 	}
 	if c.Task == "" || len(c.Task) > mostNameLen || c.Token == 0 || c.Slot <= 0 {
@@ -181,5 +183,6 @@
 		return Malformed
 	}
 	p.Token = c.Token
+	p.Rev++
 	return ""
 }
--- a/internal/task/runner.go
+++ b/internal/task/runner.go
@@ -100,6 +100,12 @@
 	case !r.known:
 		return r.look(now, true)
 	}
+	if r.page.Open && r.page.By == token {
+		// Begun here, by a token that no other process and no other start of this one has, and nothing of it is out: the answer came
+		// while the lease had lapsed for a moment.
+		r.slot, r.sent, r.pause, r.again = r.page.Slot, 0, 0, r.page.Begun > 1
+		return r.send(now, token, until)
+	}
 	unopened := time.Duration(-1)
 	if r.before >= 0 {
 		unopened = now - r.before
@@ -165,6 +171,9 @@
 
 // take notes a page. askedAt is when it was asked for: it was true later than that.
 func (r *Runner) take(askedAt time.Duration, p Page) {
+	if p.Rev < r.page.Rev {
+		return // overtaken on the way: a slot that was finished since may be open in it
+	}
 	if r.known || r.lookAt >= 0 {
 		if p.Slot > r.page.Slot || p.Slot == r.page.Slot && p.Open && !r.page.Open {
 			r.before = r.lookAt
@@ -197,8 +206,8 @@
 	case token == c.Token:
 		r.slot, r.sent, r.outcome, r.pause, r.again = c.Slot, 0, "", 0, c.Again
 	}
-	// A slot that was begun under a token that is gone stays open: nothing of it has been sent, but only this process knows, and
-	// whoever has the lease now treats it as one that may have run.
+	// A slot that was begun under a token that is gone stays open: nothing of it has been sent, but only this process knows. If the same
+	// token is in force again later, Next sends it; whoever has another treats it as one that may have run.
 }
 
 // Sent takes the end of the request that was out. again is when it may be sent again, if its outcome is Refused.
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -191,6 +191,69 @@
 	}
 }
 
+// begun is a runner whose Begin was decided, and the command.
+func begun(t *testing.T, b *Book, e Effect) (*Runner, Command) {
+	t.Helper()
+	r := NewRunner(spec(e, Once), 100*time.Millisecond, 300*time.Millisecond)
+	wall := time.Unix(1000, 0)
+	r.Next(0, wall, 1, time.Hour)
+	r.Looked(0, 0, b.Page("t"))
+	a, _ := r.Next(0, wall, 1, time.Hour)
+	if a.Command == nil || a.Command.Op != Begin {
+		t.Fatalf("%+v", a)
+	}
+	return r, *a.Command
+}
+
+// TestAnswerWhileLapsed: the answer to a Begin comes while the lease has lapsed, and the same token is in force again later: the slot goes
+// out then, once, and the task does not stand still (found by tier-explore, 5% of its seeds).
+func TestAnswerWhileLapsed(t *testing.T) {
+	b := NewBook()
+	r, c := begun(t, b, Unsafe)
+	r.Answered(time.Second, c, b.Apply(c), 0)
+	wall := time.Unix(1001, 0)
+	r.Next(time.Second, wall, 0, 0)
+	sent := 0
+	for now := time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
+		a, _ := r.Next(now, wall, 1, time.Hour)
+		if a.Look {
+			r.Looked(now, now, b.Page("t"))
+		}
+		if a.Send != nil {
+			if a.Send.Slot != c.Slot {
+				break
+			}
+			sent++
+			r.Sent(now, Done, now)
+		}
+		if a.Command != nil {
+			r.Answered(now, *a.Command, b.Apply(*a.Command), 1)
+		}
+	}
+	if sent != 1 || b.Page("t").Slot == c.Slot && b.Page("t").Open {
+		t.Errorf("sent %d times, %+v", sent, b.Page("t"))
+	}
+}
+
+// TestOvertakenPage: a page that was read before a slot was finished, and comes after its finish was answered, does not have it sent again.
+func TestOvertakenPage(t *testing.T) {
+	b := NewBook()
+	r, c := begun(t, b, Unsafe)
+	r.Answered(0, c, b.Apply(c), 1)
+	wall := time.Unix(1000, 5e8)
+	if a, _ := r.Next(0, wall, 1, time.Hour); a.Send == nil {
+		t.Fatalf("%+v", a)
+	}
+	r.Sent(0, Done, 0)
+	stale := b.Page("t")
+	a, _ := r.Next(time.Millisecond, wall, 1, time.Hour)
+	r.Answered(2*time.Millisecond, *a.Command, b.Apply(*a.Command), 1)
+	r.Looked(4*time.Millisecond, 3*time.Millisecond, stale)
+	if a, _ := r.Next(5*time.Millisecond, wall, 1, time.Hour); a.Send != nil {
+		t.Errorf("sent again: %+v", a.Send)
+	}
+}
+
 func TestSpecCheck(t *testing.T) {
 	for name, change := range map[string]func(*Spec){
 		"no name": func(s *Spec) { s.Name = "" }, "too often": func(s *Spec) { s.Every = 1 }, "no deadline": func(s *Spec) { s.Deadline = 0 },
