--- a/cmd/sorrelrudder/explore.go
+++ b/cmd/sorrelrudder/explore.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"sync"
@@ -36,6 +37,7 @@
 
 func (c *workerCmd) Run(s *streams) error {
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(800) // a run has some MB
 	out := json.NewEncoder(s.out)
 	for seed := c.First; seed < c.First+c.Count; seed++ {
 		o := explore.Options{Seed: seed, Plant: explore.Plant(c.Plant)}
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -91,6 +91,7 @@
 	rate        float64
 	offset      time.Duration
 	started     int // counts starts; what an earlier one left behind is void
+	nonce       string
 	stores      int // counts disks
 	up          bool
 	pausedUntil time.Duration
@@ -155,6 +156,7 @@
 		return
 	}
 	p.started++
+	p.nonce = fmt.Sprintf("%s/%d", p.name, p.started)
 	p.up, p.leaving, p.led = true, false, false
 	p.w.note("%s starts", p.name)
 	p.asks, p.nextAct = map[uint64]*call{}, map[string]time.Duration{}
