--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -23,13 +23,15 @@
 
 type tierCmd struct {
 	Init    tierInitCmd   `cmd:"" help:"Found a fleet, once, at one member of its council that does not run: the others are admitted as they start."`
+	Found   tierFoundCmd  `cmd:"" help:"Found a fleet whose council is in memory, once, at one member of the council that runs."`
 	Status  tierStatusCmd `cmd:"" help:"What a process knows: its session, what it holds, who leads."`
 	Members tierMembers   `cmd:"" help:"Who has a seat in the council, who votes, who listens."`
 	Leases  tierLeases    `cmd:"" help:"Who holds and who waits for what."`
 	Tasks   tierTasks     `cmd:"" help:"What became of the tasks' slots."`
 	Lease   struct {
-		Hold   tierHold   `cmd:"" help:"Hold a lease until SIGTERM or SIGINT: print its token once it is held. Exit 1 if it is lost. For scripts, as patching three hosts at a time."`
-		Revoke tierRevoke `cmd:"" help:"Take a lease from its holder: it is free once the holder has surely stopped."`
+		Hold     tierHold     `cmd:"" help:"Hold a lease until SIGTERM or SIGINT: print its token once it is held. Exit 1 if it is lost. For scripts, as patching three hosts at a time."`
+		Handover tierHandover `cmd:"" help:"Have the holder at ADDRESS give a lease to a member, as soon as nothing of its task is out."`
+		Revoke   tierRevoke   `cmd:"" help:"Take a lease from its holder: it is free once the holder has surely stopped."`
 	} `cmd:"" help:"Change a lease."`
 	Task struct {
 		Run tierTaskRun `cmd:"" help:"Have the next slot of a task done now, by whoever holds the task's lease."`
@@ -229,6 +231,34 @@
 	})
 }
 
+type tierFoundCmd struct{ asking }
+
+func (c *tierFoundCmd) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		if err := o.Found(ctx); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(s.out, "founded; the other members of the council are admitted as they ask")
+		return err
+	})
+}
+
+type tierHandover struct {
+	Name string `arg:"" help:"The lease."`
+	To   string `arg:"" help:"The member."`
+	asking
+}
+
+func (c *tierHandover) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		if err := o.Handover(ctx, c.Name, c.To); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(s.out, "%s goes to %s as soon as nothing of it is out\n", c.Name, c.To)
+		return err
+	})
+}
+
 type tierSeat struct {
 	Name string `arg:"" help:"The member."`
 	asking
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -149,3 +149,27 @@
 		fl.change(&raftpb.ConfState{Voters: []uint64{1}}, func(uint64) bool { return true })
 	})
 }
+
+// TestVolatileSeat: without disks one that comes back takes the place of its former self at once; a council on disk lets none without a
+// disk vote.
+func TestVolatileSeat(t *testing.T) {
+	f := Founded("fleet", "a", "a0", []string{"a", "b", "c"})
+	if r := f.seat(SeatCommand{Op: Admit, Name: "b", Store: "b0", Memory: true}); r.ID != 0 || r.Why == "" {
+		t.Errorf("one without a disk has a seat: %+v", r)
+	}
+	f.Volatile = true
+	first := f.seat(SeatCommand{Op: Admit, Name: "b", Store: "b0", Memory: true})
+	again := f.seat(SeatCommand{Op: Admit, Name: "b", Store: "b1", Memory: true})
+	if !first.Voter || !again.Voter || again.ID == first.ID {
+		t.Errorf("%+v, %+v", first, again)
+	}
+	if v := f.voters(); !slices.Equal(v, []uint64{1, again.ID}) {
+		t.Errorf("%v vote", v)
+	}
+	// The former one still counts until the change is made, and never twice: it goes as the new one comes.
+	conf := &raftpb.ConfState{Voters: []uint64{1, first.ID}, Learners: []uint64{again.ID}}
+	c := f.change(conf, func(uint64) bool { return true })
+	if c == nil || len(c.Changes) != 2 || c.Changes[0].GetNodeId() != again.ID || c.Changes[1].GetNodeId() != first.ID {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/council/fleet.go
+++ b/internal/council/fleet.go
@@ -31,12 +31,15 @@
 
 // Fleet is the replicated state.
 type Fleet struct {
-	ID     string           `json:"id"`   // of the fleet, drawn when it was founded
-	Last   uint64           `json:"last"` // the largest identity given
-	Seats  map[string]*Seat `json:"seats"`
-	Names  []string         `json:"names"` // who may have a seat
-	Leases *lease.Machine   `json:"leases"`
-	Slots  *task.Book       `json:"slots"`
+	ID    string           `json:"id"`   // of the fleet, drawn when it was founded
+	Last  uint64           `json:"last"` // the largest identity given
+	Seats map[string]*Seat `json:"seats"`
+	Names []string         `json:"names"` // who may have a seat
+	// Volatile: what is promised is kept in memory. Who comes back with another store takes the place of the former at once, which has
+	// ended with its process.
+	Volatile bool           `json:"volatile,omitempty"`
+	Leases   *lease.Machine `json:"leases"`
+	Slots    *task.Book     `json:"slots"`
 }
 
 // SeatOp is what is done about seats.
@@ -54,6 +57,8 @@
 	Op    SeatOp `json:"op"`
 	Name  string `json:"name"`
 	Store string `json:"store,omitempty"`
+	// Memory: Admit: the store ends with its process.
+	Memory bool `json:"memory,omitempty"`
 }
 
 // SeatResult is what became of it.
@@ -140,6 +145,8 @@
 			return SeatResult{Why: fmt.Sprintf("%q has no seat in the council", c.Name)}
 		case c.Store == "":
 			return SeatResult{Why: "no store"}
+		case c.Memory && !f.Volatile:
+			return SeatResult{Why: "this council is on disk: one without a disk does not vote"}
 		case s != nil && s.Store == c.Store:
 		case s == nil:
 			f.Last++
@@ -152,6 +159,11 @@
 			if s.Voter {
 				next.Former = s.ID
 			}
+			if f.Volatile && c.Memory {
+				// Neither the former identity nor its promises can come back. It counts as one that votes until a majority, it itself
+				// counted as silent, has put the new one in its place.
+				next.Voter, next.Former = true, 0
+			}
 			f.Seats[c.Name] = next
 		}
 		s = f.Seats[c.Name]
--- a/internal/lab/lease.go
+++ b/internal/lab/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -40,6 +41,17 @@
 	})
 }
 
+func init() {
+	Register(Scenario{
+		Name: "lease-memory", Duration: 12 * time.Second, Run: leaseMemory,
+		Summary: "a council without disks: each process is killed in turn, and votes again under another identity without an operator",
+	})
+	Register(Scenario{
+		Name: "task-bounds", Duration: 14 * time.Second, Run: taskBounds,
+		Summary: "six tasks on a pool of plain HTTP, two at once over the fleet, by priority and within a budget, while processes are killed and a lease is handed over",
+	})
+}
+
 func taskTOML(name, path, every, more string) string {
 	return fmt.Sprintf("[[tasks]]\nname = %q\npool = \"farm\"\npath = %q\nevery = %q\ndeadline = \"250ms\"\n%s", name, path, every, more)
 }
@@ -480,3 +492,131 @@
 	f.stop()
 	return nil
 }
+
+// voters are the identities that vote, by the account of the first process that tells.
+func (f *fleet) voters() []uint64 {
+	for _, p := range f.procs[:f.cfg.voters] {
+		if s, err := f.status(p); err == nil && s.Council != nil && s.Council.Fleet != nil {
+			return s.Council.Voters
+		}
+	}
+	return nil
+}
+
+func leaseMemory(ctx context.Context, e *Env) error {
+	f, err := e.startFleet(ctx, fleetConfig{processes: 4, voters: 3, memory: true, tasks: taskTOML("sweep", "/delivery-order/sweep", "50ms", "")})
+	if err != nil {
+		return err
+	}
+	const lease = "task/sweep"
+	if err := f.settle(ctx, lease); err != nil {
+		return err
+	}
+	if out, err := f.cli("tier", "found", f.procs[1].addr, "--secret", f.secret); err == nil {
+		e.Broken("a second fleet was founded: %s", out)
+	}
+	from := time.Now()
+	e.Phase("each member is killed in turn", e.Duration)
+	var took []time.Duration
+	for n := 0; time.Since(from) < e.Duration || n < 3; n++ {
+		before := f.voters()
+		p := f.procs[n%3]
+		f.note("%s is killed, and what it promised with it", p.name)
+		at := time.Now()
+		p.end()
+		if err := p.start(); err != nil {
+			return err
+		}
+		if err := f.await(ctx, 15*time.Second, p.name+" votes under another identity", func() bool {
+			now := f.voters()
+			return len(now) == 3 && !slices.Equal(now, before)
+		}); err != nil {
+			return err
+		}
+		took = append(took, time.Since(at))
+		f.note("%s votes again: %v", p.name, f.voters())
+		if err := f.settle(ctx, lease); err != nil {
+			return err
+		}
+	}
+	slices.Sort(took)
+	e.Measure("votes_again_p50_s", took[len(took)/2].Seconds())
+	e.Measure("votes_again_most_s", took[len(took)-1].Seconds())
+	f.judge(map[string]standin.Effect{"sweep": standin.Keyed}, from, time.Now())
+	f.stop()
+	return nil
+}
+
+func taskBounds(ctx context.Context, e *Env) error {
+	const atOnce, allowed = 2, 5
+	tasks, effects := "", map[string]standin.Effect{}
+	for i := range 6 {
+		name := fmt.Sprint("work", i)
+		effects[name] = standin.Keyed
+		more := fmt.Sprintf("method = \"POST\"\npriority = %d\n", i)
+		if i == 5 {
+			more += fmt.Sprintf("[tasks.budget]\nper = \"2s\"\nrequests = %d\n", allowed)
+		}
+		tasks += taskTOML(name, "/delivery-order/"+name, "40ms", more)
+	}
+	f, err := e.startFleet(ctx, fleetConfig{
+		processes: 5, voters: 3, plain: true, tasks: tasks, more: fmt.Sprintf("tasks_at_once = %d\n", atOnce),
+		box: func(b *standin.BoxConfig) { b.Service, b.Reports = 20*time.Millisecond, standin.NoReports },
+	})
+	if err != nil {
+		return err
+	}
+	for name := range effects {
+		if err := f.settle(ctx, "task/"+name); err != nil {
+			return err
+		}
+	}
+	const lease = "task/work0"
+	was := f.holder(lease)
+	if was < 0 {
+		return fmt.Errorf("%w: nobody holds %s", errNotWhole, lease)
+	}
+	to := f.procs[(was+1)%5]
+	if out, err := f.cli("tier", "lease", "handover", lease, to.name, f.procs[was].addr, "--secret", f.secret); err != nil {
+		return fmt.Errorf("handover: %w: %s", err, out)
+	}
+	asked := time.Now()
+	if err := f.await(ctx, 5*time.Second, "the lease goes to "+to.name, func() bool { return f.holder(lease) == to.i }); err != nil {
+		return err
+	}
+	e.Measure("handover_s", time.Since(asked).Seconds())
+	rng := rand.New(rand.NewPCG(e.Seed, 34))
+	faults, err := e.faults(drawFaults(rng, []string{"kill", "leave", "cut"}, int(e.Duration/(2*time.Second)), 5, e.Duration))
+	if err != nil {
+		return err
+	}
+	e.Phase("processes are killed, cut off and end in order", e.Duration)
+	from := time.Now()
+	f.play(ctx, faults)
+	for name := range effects {
+		if err := f.settle(ctx, "task/"+name); err != nil {
+			return err
+		}
+	}
+	f.judge(effects, from, time.Now())
+	v := f.acts.Verdict(func(string) bool { return true })
+	e.AtMost("most_at_once", float64(v.AtOnce), atOnce)
+	s, err := f.status(f.procs[0])
+	if err != nil {
+		return err
+	}
+	if s.Council == nil || s.Council.Fleet == nil {
+		return fmt.Errorf("%w: %s does not tell the state", errNotWhole, f.procs[0].name)
+	}
+	done := func(task string) float64 { return float64(s.Council.Fleet.Slots.Tasks[task].Counts["done"]) }
+	e.Measure("done_of_least_priority", done("work0"))
+	e.Measure("done_of_most_priority", done("work4"))
+	if done("work4") < done("work0") {
+		e.Broken("what matters most was done less often than what matters least")
+	}
+	periods := math.Ceil(time.Since(f.began).Seconds()/2) + 1
+	// One slot may overdraw each period: three tries.
+	e.AtMost("budgeted", done("work5"), periods*(allowed+3))
+	f.stop()
+	return nil
+}
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -33,6 +33,9 @@
 	tasks             string                     // [[tasks]] of the operator's file
 	box               func(*standin.BoxConfig)   // how the boxes differ from usual ones, or nil
 	clocks            func(i int) (rate float64) // or nil
+	memory            bool                       // the council is in memory
+	plain             bool                       // the pool speaks plain HTTP
+	more              string                     // further keys of [tier]
 }
 
 // fleet is a fleet of real processes, each on a loopback address of its own, with a link between every ordered pair.
@@ -97,7 +100,7 @@
 		if p.addr, err = freeAddr(i); err != nil {
 			return nil, err
 		}
-		if i < cfg.voters {
+		if i < cfg.voters && !cfg.memory {
 			p.store = filepath.Join(e.Dir, p.name+".db")
 		}
 		p.disk = filepath.Join(e.Dir, p.name+".disk")
@@ -124,8 +127,10 @@
 			return nil, err
 		}
 	}
-	if out, err := f.cli("tier", "init", f.procs[0].file()); err != nil {
-		return nil, fmt.Errorf("founding the fleet: %w: %s", err, out)
+	if !cfg.memory {
+		if out, err := f.cli("tier", "init", f.procs[0].file()); err != nil {
+			return nil, fmt.Errorf("founding the fleet: %w: %s", err, out)
+		}
 	}
 	e.Defer(f.kill)
 	f.began = time.Now()
@@ -134,6 +139,14 @@
 			return nil, err
 		}
 	}
+	if cfg.memory {
+		if err := f.procs[0].ready(ctx); err != nil {
+			return nil, err
+		}
+		if out, err := f.cli("tier", "found", f.procs[0].addr, "--secret", f.secret); err != nil {
+			return nil, fmt.Errorf("founding the fleet: %w: %s", err, out)
+		}
+	}
 	return f, f.await(ctx, 10*time.Second, "all seats vote", func() bool {
 		for _, p := range f.procs[:cfg.voters] {
 			if !slices.ContainsFunc(p.prog.Lines(), func(line string) bool {
@@ -151,15 +164,21 @@
 // text is the operator's file of a process: the others are where its links to them begin.
 func (p *fleetProc) text() string {
 	var b strings.Builder
-	b.WriteString("[[listeners]]\nname = \"farm\"\naddress = \"127.0.0.1:0\"\n\n[pools.farm]\n")
-	b.WriteString(serversTOML("farm", p.f.boxes))
-	b.WriteString(classesTOML("farm"))
+	reports := standin.PlatformReports
+	if p.f.cfg.plain {
+		reports = standin.NoReports
+	}
+	b.WriteString(plainPool(reports, p.f.boxes))
 	var council []string
 	for _, q := range p.f.procs[:p.f.cfg.voters] {
 		council = append(council, strconv.Quote(q.name))
 	}
 	fmt.Fprintf(&b, "[tier]\nname = %q\nsecret = %q\ncouncil = [%s]\nterm = %q\ntick = %q\ndrift = %.3f\nguard = \"30ms\"\n",
 		p.name, p.f.secret, strings.Join(council, ", "), tierTerm, tierTick, tierDrift)
+	b.WriteString(p.f.cfg.more)
+	if p.f.cfg.memory {
+		b.WriteString("council_in_memory = \"all promises are forgotten when most members end at once\"\n")
+	}
 	if p.store != "" {
 		fmt.Fprintf(&b, "store = %q\n", p.store)
 	}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -44,6 +44,7 @@
 	queue    []string // wanted names that are to be asked for; one may be there twice
 	changes  uint64
 	passing  map[string]string // names that are to be given up, and to whom; empty: to whoever waits
+	again    map[string]int    // of those the ones that are wanted again then, and their limits
 	closing  bool
 	gone     bool // another process has the name
 	lastID   uint64
@@ -81,7 +82,7 @@
 // NewKeeper returns that of a process without a session. start differs at each start of any process.
 func NewKeeper(r Rules, member, start string) *Keeper {
 	return &Keeper{
-		rules: r, member: member, start: start, until: -1, holds: map[string]uint64{}, wants: map[string]want{}, passing: map[string]string{},
+		rules: r, member: member, start: start, until: -1, holds: map[string]uint64{}, wants: map[string]want{}, passing: map[string]string{}, again: map[string]int{},
 		sent: map[uint64]asked{}, commands: map[string]*command{},
 	}
 }
@@ -112,6 +113,16 @@
 	}
 }
 
+// Handover gives name up to the member named to, and waits for it again behind all others. What the process does about it must have ended.
+func (k *Keeper) Handover(name, to string) {
+	w, had := k.wants[name]
+	if !had || k.holds[name] == 0 {
+		return
+	}
+	k.Unwant(name, to)
+	k.again[name] = w.limit
+}
+
 // Close gives up all at once and for good. What the process does about its leases must have ended.
 func (k *Keeper) Close() {
 	k.closing = true
@@ -322,6 +333,10 @@
 	clear(k.commands)
 	clear(k.sent) // what is still to come concerns the old one
 	clear(k.passing)
+	for name, limit := range k.again {
+		k.wants[name] = want{limit: limit}
+	}
+	clear(k.again)
 	k.queue = slices.Sorted(maps.Keys(k.wants))
 	for _, name := range k.queue {
 		k.wants[name] = want{limit: k.wants[name].limit}
@@ -371,6 +386,10 @@
 			break
 		}
 		delete(k.passing, c.Name)
+		if limit, wanted := k.again[c.Name]; wanted {
+			delete(k.again, c.Name)
+			k.Want(c.Name, limit)
+		}
 	}
 	if r.Version == k.version {
 		return
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -1,6 +1,7 @@
 package opfile
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,11 +10,15 @@
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/gateway"
 	"sorrelrudder/internal/lease"
+	"sorrelrudder/internal/plain"
 	"sorrelrudder/internal/task"
 	"sorrelrudder/internal/tier"
 	"sorrelrudder/policy"
 )
 
+// memoryWord is what an operator has to write to have a council without disks.
+const memoryWord = "all promises are forgotten when most members end at once"
+
 // tier reads the fleet that this process is of, and the fleet's tasks.
 func (f *File) tier(r *reader) {
 	s := f.root
@@ -49,6 +54,13 @@
 		addresses[address] = m.n.line
 		c.Members[name] = address
 	}
+	if t.has("council_in_memory") {
+		if t.str("council_in_memory", "") != memoryWord {
+			r.bad(t.at("council_in_memory"), "is to be %q, which says what is given up", memoryWord)
+		}
+		c.Memory = true
+	}
+	most := int(t.whole("tasks_at_once", 0, 0, task.MostTasks))
 	t.done()
 	if c.Name != "" && c.Members[c.Name] == "" {
 		r.bad(t.at("name"), "%q is none of [[tier.members]]", c.Name)
@@ -70,7 +82,10 @@
 		}
 	}
 	seated := slices.Contains(c.Council, c.Name)
-	if seated && c.Store == "" {
+	if c.Memory && c.Store != "" {
+		r.bad(t.at("store"), "can't be together with council_in_memory: it would not be used")
+	}
+	if seated && c.Store == "" && !c.Memory {
 		r.bad(t.at("store"), "is missing: this process is in the council, and what it promises there has to outlive it")
 	}
 	if !seated && c.Store != "" {
@@ -85,7 +100,7 @@
 	named := map[string]bool{}
 	for _, section := range s.tables("tasks") {
 		k := r.task(section, f.Gateway.Pools)
-		k.Drift = c.Rules.Drift
+		k.Drift, k.Most = c.Rules.Drift, most
 		if named[k.Name] && k.Name != "" {
 			r.bad(section.at("name"), "task %q is there twice", k.Name)
 		}
@@ -110,7 +125,16 @@
 	k.Missed = missed[s.word("missed", "once", "skip", "once", "each")]
 	k.Deadline = s.duration("deadline", time.Second, time.Millisecond, time.Hour)
 	k.Tries = int(s.whole("tries", 3, 1, 100))
-	k.Method = s.word("method", http.MethodPost, http.MethodGet, http.MethodPost)
+	k.Method = s.word("method", http.MethodPost, http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete)
+	k.Host = s.str("host", "")
+	k.Priority = int(s.whole("priority", 0, -100, 100))
+	if s.has("budget") {
+		b := s.table("budget")
+		k.Budget = task.Budget{
+			Per: b.duration("per", 24*time.Hour, time.Second, 366*day), Requests: b.whole("requests", 0, 0, 1<<40), Time: b.duration("time", 0, 0, 366*day),
+		}
+		b.done()
+	}
 	s.done()
 	if len(k.Name) > lease.MostNameLen-len("task/") || strings.ContainsAny(k.Name, "\r\n/") {
 		r.bad(s.at("name"), "%q can't be the name of a task", k.Name)
@@ -131,11 +155,15 @@
 		}
 		return k
 	}
-	if pools[at].Dialect != nil {
-		r.bad(s.at("pool"), "%q speaks plain HTTP, which tasks can't be sent to yet", k.Pool)
-		return k
-	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(k.Path, "/"), "/")
+	if d, ok := pools[at].Dialect.(*plain.Dialect); ok {
+		// By the pool's rules, as a client's request of that head would be; of a keyed class tasks always bear a key.
+		path, _, _ := strings.Cut(k.Path, "?")
+		class = d.Class(k.Method, cmp.Or(k.Host, k.Pool), path, http.Header{"Idempotency-Key": {"a task's"}})
+		k.Plain = true
+	} else if k.Host != "" {
+		r.bad(s.at("host"), "means something to pools of plain HTTP only, which %q is not", k.Pool)
+	}
 	names = nil
 	var of *policy.Class
 	for i := range pools[at].Settings.Config.Classes {
@@ -149,7 +177,7 @@
 		return k
 	}
 	k.Effect, k.Window = task.Effect(of.Effect), of.KeyTTL
-	if (of.Effect == policy.Safe) != (k.Method == http.MethodGet) {
+	if !k.Plain && (of.Effect == policy.Safe) != (k.Method == http.MethodGet) {
 		r.bad(s.at("method"), "is %s, and the class %q is %s", k.Method, class, [...]string{"safe", "keyed", "unsafe"}[of.Effect])
 	}
 	if err := k.Spec.Check(); err != nil {
--- a/internal/opfile/tier_test.go
+++ b/internal/opfile/tier_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"sorrelrudder/internal/task"
 )
 
 const tierFile = `[[listeners]]
@@ -72,6 +75,11 @@
 		"no such schedule":   {`every = "1m"`, `every = "now and then"`, "tasks[1].every"},
 		"no such missed":     {`every = "1m"`, "every = \"1m\"\nmissed = \"twice\"", "tasks[1].missed"},
 		"unknown key":        {`every = "1m"`, "every = \"1m\"\ncron = \"*\"", "tasks[1].cron: unknown key"},
+		"priority":           {`every = "1m"`, "every = \"1m\"\npriority = 1000", "tasks[1].priority: is 1000, outside -100 to 100"},
+		"empty budget":       {`every = "1m"`, "every = \"1m\"\n[tasks.budget]\nper = \"1h\"", "neither requests nor time"},
+		"memory, unsaid":     {`store = "a.db"`, `council_in_memory = "yes"`, "f.toml:15: tier.council_in_memory: is to be \"all promises are forgotten"},
+		"memory and store":   {"[tier]", "[tier]\ncouncil_in_memory = \"" + memoryWord + "\"", "tier.store: can't be together with council_in_memory"},
+		"host, not plain":    {`every = "1m"`, "every = \"1m\"\nhost = \"a.example\"", "tasks[1].host: means something to pools of plain HTTP only"},
 		"tasks alone":        {tierFile[strings.Index(tierFile, "[tier]"):strings.Index(tierFile, "[[tasks]]")], "", "tasks: are done once for a fleet"},
 	} {
 		text := strings.Replace(tierFile, c.from, c.to, 1)
@@ -100,3 +108,23 @@
 		}
 	}
 }
+
+// TestPlainTask: on a pool of plain HTTP the class of a task is what the pool's rules say of its request.
+func TestPlainTask(t *testing.T) {
+	text := strings.Replace(tierFile, "[pools.farm]\n", "[pools.farm]\nprotocol = \"http\"\n", 1)
+	text = strings.Replace(text, "name = \"delivery-order\"\n", "name = \"delivery-order\"\nmatch = [\"POST /delivery-order/\"]\nrepeats_dropped_for = \"20s\"\n", 1)
+	f, err := Parse("f.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := f.Tier.Tasks[0]; !k.Plain || k.Effect != task.Keyed || k.Window != 20*time.Second {
+		t.Errorf("%+v", k)
+	}
+	f, err = Parse("f.toml", []byte(strings.Replace(text, `"/delivery-order/sweep"`, `"/else"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := f.Tier.Tasks[0]; k.Effect != task.Unsafe {
+		t.Errorf("what no rule takes: %+v", k)
+	}
+}
--- a/internal/standin/acts.go
+++ b/internal/standin/acts.go
@@ -19,6 +19,7 @@
 	times   map[string][]time.Time     // of each accepted act's begin, by resource
 	done    map[string]int             // effects by slot
 	tokens  map[string]map[uint64]bool // that have acted, by resource
+	now     int                        // in work
 	verdict ActsVerdict
 }
 
@@ -30,6 +31,7 @@
 	Doubled     int // slots with more effects than one
 	Slots       int // slots with an effect
 	Tokens      int // different ones that have acted
+	AtOnce      int // the most that were in work at once
 	First       string
 }
 
@@ -64,6 +66,8 @@
 		a.running[on], a.tokens[on] = map[uint64]int{}, map[uint64]bool{}
 	}
 	a.running[on][token]++
+	a.now++
+	a.verdict.AtOnce = max(a.verdict.AtOnce, a.now)
 	a.tokens[on][token] = true
 	a.times[on] = append(a.times[on], time.Now())
 	a.verdict.Acts++
@@ -71,6 +75,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.running[on][token]--
+		a.now--
 	}
 }
 
--- a/internal/task/book.go
+++ b/internal/task/book.go
@@ -43,6 +43,14 @@
 	Again   bool    `json:"again,omitempty"` // Begin: one that another has begun may be begun again: a repeat does no harm
 	Outcome Outcome `json:"outcome,omitempty"`
 	Skipped int64   `json:"skipped,omitempty"` // Begin: slots before this one that are left out
+
+	Most     int `json:"most,omitempty"`     // Begin: how many slots of all tasks may be open at once over the fleet; 0: no bound
+	Priority int `json:"priority,omitempty"` // Begin: of those that wait for room the largest goes first
+
+	// Finish: what the slot has cost, and in which period of the task's budget.
+	Period   int64 `json:"period,omitempty"`
+	Requests int   `json:"requests,omitempty"`
+	TookMs   int64 `json:"took_ms,omitempty"`
 }
 
 // Result is what became of a command; Why is empty if it was done. A command may be asked again: it has the same result until
@@ -60,6 +68,7 @@
 	Taken     Why = "the slot was begun before"
 	Running   Why = "another slot is not finished"
 	NotBegun  Why = "the slot is not begun"
+	Crowded   Why = "as many tasks are being done as may be at once"
 	Full      Why = "too many tasks"
 	Malformed Why = "malformed"
 )
@@ -76,11 +85,27 @@
 	Counts  map[Outcome]int64 `json:"counts,omitempty"`
 	Skipped int64             `json:"skipped,omitempty"`
 	Called  bool              `json:"called,omitempty"` // an operator wants the next slot now
+
+	// While a slot waits for room among the tasks that are being done: since which of the book's asks (0: none waits), how much it
+	// matters, and how often others were sent away for it since it asked last.
+	Waits    uint64 `json:"waits,omitempty"`
+	Priority int    `json:"priority,omitempty"`
+	Passed   int    `json:"passed,omitempty"`
+
+	// What the task has cost in the newest period of its budget that is known.
+	Period   int64 `json:"period,omitempty"`
+	Requests int64 `json:"requests,omitempty"`
+	TookMs   int64 `json:"took_ms,omitempty"`
 }
 
+// staleAsks is for how many rounds of asking others give way to one that waits and does not ask any more: its holder has died, or its
+// slot is not due any more. The book has no clock; all that wait ask about equally often.
+const staleAsks = 8
+
 // Book is the replicated state.
 type Book struct {
 	Tasks map[string]*Page `json:"tasks"`
+	Asks  uint64           `json:"asks,omitempty"` // for room, so far
 }
 
 // NewBook returns an empty one.
@@ -161,6 +186,8 @@
 		case p.Open:
 			p.By = c.Token
 			p.Begun++
+		case !b.room(c, p):
+			return Crowded
 		default:
 			p.Slot, p.Open, p.By, p.Begun = c.Slot, true, c.Token, 1
 			p.Skipped += max(0, c.Skipped)
@@ -178,6 +205,11 @@
 		if p.Open {
 			p.Open, p.Last = false, c.Outcome
 			p.Counts[c.Outcome]++
+			if c.Period > p.Period { // a clock that is behind spends of the period that is known
+				p.Period, p.Requests, p.TookMs = c.Period, 0, 0
+			}
+			p.Requests += int64(max(0, c.Requests))
+			p.TookMs += max(0, c.TookMs)
 		}
 	default:
 		return Malformed
@@ -186,3 +218,49 @@
 	p.Rev++
 	return ""
 }
+
+// room says whether a slot may be begun beside those that are open over the whole fleet. Of those that wait the one that matters most
+// goes first, then the one that has waited longest. What a dead holder left open counts until somebody has taken it up.
+func (b *Book) room(c Command, p *Page) bool {
+	if c.Most <= 0 {
+		p.Waits, p.Passed = 0, 0
+		return true
+	}
+	b.Asks++
+	p.Passed, p.Priority = 0, c.Priority
+	if p.Waits == 0 {
+		p.Waits = b.Asks
+	}
+	open, waiting := 0, 0
+	var ahead []*Page
+	for _, other := range b.Tasks {
+		if other == p {
+			continue
+		}
+		if other.Open {
+			open++
+		}
+		if other.Waits != 0 {
+			waiting++
+			if other.Priority > p.Priority || other.Priority == p.Priority && other.Waits < p.Waits {
+				ahead = append(ahead, other)
+			}
+		}
+	}
+	if open >= c.Most {
+		return false
+	}
+	free := c.Most - open
+	for _, other := range ahead {
+		if other.Passed++; other.Passed > staleAsks*(waiting+1) {
+			other.Waits, other.Passed = 0, 0
+			continue
+		}
+		free--
+	}
+	if free <= 0 {
+		return false
+	}
+	p.Waits, p.Passed = 0, 0
+	return true
+}
--- a/internal/task/plan.go
+++ b/internal/task/plan.go
@@ -40,6 +40,35 @@
 	Deadline time.Duration // of each request
 	Tries    int           // requests for one slot, where a repeat does no harm
 	Drift    float64       // bounds how far each clock's rate is from true time
+	Most     int           // slots of all tasks that may be open at once over the fleet; 0: no bound
+	Priority int           // of those that wait for that the largest goes first
+	Budget   Budget
+}
+
+// Budget bounds what a task may cost in each period. Once it is spent nothing more is begun until the next period, and the slots
+// meanwhile are missed ones. A slot that has begun is not cut off by it, so that one may be overdrawn by one slot.
+type Budget struct {
+	Per      time.Duration // of a period, counted as slots are; 0: no budget
+	Requests int64         // 0: any
+	Time     time.Duration // that requests were out; 0: any
+}
+
+// period is which one it is by a wall clock.
+func (b *Budget) period(wall time.Time) int64 {
+	if b.Per == 0 {
+		return 0
+	}
+	return int64(wall.Sub(time.Unix(0, 0)) / b.Per)
+}
+
+// spent reports whether a task has had its part of the present period, and when the next one begins.
+func (b *Budget) spent(p Page, wall time.Time) (until time.Time, spent bool) {
+	now := b.period(wall)
+	if b.Per == 0 || p.Period < now {
+		return until, false
+	}
+	until = time.Unix(0, 0).Add(time.Duration(p.Period+1) * b.Per)
+	return until, b.Requests > 0 && p.Requests >= b.Requests || b.Time > 0 && p.TookMs >= b.Time.Milliseconds()
 }
 
 // Fresh is for how long after the newest moment at which a slot was surely not begun its key may be sent again, by this process' clock:
@@ -61,6 +90,12 @@
 		return fmt.Errorf("task %q: a spread of %v is not between 0 and %v", s.Name, s.Spread, s.Every)
 	case s.Deadline <= 0:
 		return fmt.Errorf("task %q: no deadline", s.Name)
+	case s.Most < 0 || s.Tries < 0:
+		return fmt.Errorf("task %q: a bound below 0", s.Name)
+	case s.Budget.Per > 0 && s.Budget.Requests == 0 && s.Budget.Time == 0:
+		return fmt.Errorf("task %q: a budget that names neither requests nor time", s.Name)
+	case s.Budget.Per == 0 && (s.Budget.Requests != 0 || s.Budget.Time != 0), s.Budget.Per < 0, s.Budget.Requests < 0, s.Budget.Time < 0:
+		return fmt.Errorf("task %q: a budget without the period that it is for", s.Name)
 	case s.Effect == Keyed && s.Window <= s.Deadline:
 		return fmt.Errorf("task %q: its servers forget a key after %v, no later than its deadline of %v", s.Name, s.Window, s.Deadline)
 	}
@@ -100,6 +135,7 @@
 	Again   bool
 	Skipped int64     // slots before it that are left out
 	Until   time.Time // nothing to do before, by the wall clock
+	Spent   bool      // the budget is what is waited for
 }
 
 // Next decides what a holder with that token does. unopened is how long ago, by its own monotonic clock, the process knows for certain
@@ -127,6 +163,9 @@
 		return Step{Begin: first, Skipped: first - p.Slot - 1}
 	}
 	next := Step{Until: s.Due(slot + 1)}
+	if until, spent := s.Budget.spent(p, wall); spent {
+		return Step{Until: until, Spent: true}
+	}
 	if slot <= p.Slot || slot <= 0 {
 		if p.Slot > slot { // the clock here is behind that of who began it
 			next.Until = s.Due(p.Slot + 1)
--- a/internal/task/runner.go
+++ b/internal/task/runner.go
@@ -44,6 +44,10 @@
 	again   bool    // another has begun it before
 	outcome Outcome // to be written down
 	pause   time.Duration
+	sentAt  time.Duration
+	took    time.Duration // that the slot's requests were out
+	full    time.Duration // no room among the tasks until then: not to be asked for before
+	spent   bool
 }
 
 // NewRunner returns one that knows nothing yet.
@@ -92,30 +96,37 @@
 	}
 	switch {
 	case r.outcome != "":
-		return r.ask(now, Command{Op: Finish, Task: r.spec.Name, Slot: r.slot, Token: token, Outcome: r.outcome})
+		return r.finish(now, wall, token)
 	case token == 0:
 		return r.look(now, now >= r.nextLook)
 	case r.slot != 0:
-		return r.send(now, token, until)
+		return r.send(now, wall, token, until)
 	case !r.known:
 		return r.look(now, true)
 	}
 	if r.page.Open && r.page.By == token {
 		// Begun here, by a token that no other process and no other start of this one has, and nothing of it is out: the answer came
 		// while the lease had lapsed for a moment.
-		r.slot, r.sent, r.pause, r.again = r.page.Slot, 0, 0, r.page.Begun > 1
-		return r.send(now, token, until)
+		r.slot, r.sent, r.took, r.pause, r.again = r.page.Slot, 0, 0, 0, r.page.Begun > 1
+		return r.send(now, wall, token, until)
 	}
 	unopened := time.Duration(-1)
 	if r.before >= 0 {
 		unopened = now - r.before
 	}
 	step := r.spec.Next(r.page, token, wall, unopened)
+	r.spent = step.Spent
 	switch {
 	case step.Finish != 0:
-		return r.ask(now, Command{Op: Finish, Task: r.spec.Name, Slot: step.Finish, Token: token, Outcome: Unknown})
+		c := Command{Op: Finish, Task: r.spec.Name, Slot: step.Finish, Token: token, Outcome: Unknown}
+		r.charge(&c, wall, r.page.Begun)
+		return r.ask(now, c)
+	case step.Begin != 0 && now < r.full && !step.Again:
+		return a, r.full
 	case step.Begin != 0:
-		return r.ask(now, Command{Op: Begin, Task: r.spec.Name, Slot: step.Begin, Token: token, Again: step.Again, Skipped: step.Skipped})
+		return r.ask(now, Command{
+			Op: Begin, Task: r.spec.Name, Slot: step.Begin, Token: token, Again: step.Again, Skipped: step.Skipped, Most: r.spec.Most, Priority: r.spec.Priority,
+		})
 	}
 	at = now + max(time.Millisecond, step.Until.Sub(wall))
 	if now >= r.nextLook { // an operator may have called for the next slot
@@ -124,6 +135,35 @@
 	return a, min(at, r.nextLook)
 }
 
+// Spent reports whether the task waits for the next period of its budget, as far as is known here.
+func (r *Runner) Spent() bool { return r.spent }
+
+// finish writes down what came of the slot, and what it cost.
+func (r *Runner) finish(now time.Duration, wall time.Time, token uint64) (Action, time.Duration) {
+	c := Command{Op: Finish, Task: r.spec.Name, Slot: r.slot, Token: token, Outcome: r.outcome}
+	others := 0
+	if r.again {
+		others = max(0, r.page.Begun-1)
+	}
+	r.charge(&c, wall, others)
+	return r.ask(now, c)
+}
+
+// charge reckons what a slot cost: what was sent here, and of others that have begun it as much as they may have.
+func (r *Runner) charge(c *Command, wall time.Time, others int) {
+	if r.spec.Budget.Per == 0 {
+		return
+	}
+	tries := max(1, r.spec.Tries)
+	c.Period, c.Requests = r.spec.Budget.period(wall), others*tries
+	took := time.Duration(others*tries) * r.spec.Deadline
+	if c.Slot == r.slot {
+		c.Requests += r.sent
+		took += r.took
+	}
+	c.TookMs = took.Milliseconds()
+}
+
 func (r *Runner) ask(now time.Duration, c Command) (Action, time.Duration) {
 	r.asking, r.askedAt = &c, now
 	copied := c
@@ -142,21 +182,21 @@
 }
 
 // send has the request of the slot sent, if there is time for an answer.
-func (r *Runner) send(now time.Duration, token uint64, until time.Duration) (Action, time.Duration) {
+func (r *Runner) send(now time.Duration, wall time.Time, token uint64, until time.Duration) (Action, time.Duration) {
 	if now < r.pause {
 		return Action{}, r.pause
 	}
 	if r.again && r.spec.Effect == Keyed && now >= r.before+r.spec.Fresh() {
 		// The council's answer came late: by now the servers may have forgotten the key.
 		r.outcome = Unknown
-		return r.ask(now, Command{Op: Finish, Task: r.spec.Name, Slot: r.slot, Token: token, Outcome: r.outcome})
+		return r.finish(now, wall, token)
 	}
 	deadline := min(now+r.spec.Deadline, until)
 	if deadline <= now {
 		return Action{}, now + r.retry
 	}
 	r.sent++
-	r.out = true
+	r.out, r.sentAt = true, now
 	return Action{Send: &Send{Slot: r.slot, Key: r.spec.Key(r.slot), Token: token, Attempt: r.sent, Deadline: deadline}}, deadline
 }
 
@@ -195,16 +235,18 @@
 	switch {
 	case c.Op == Finish:
 		if c.Slot == r.slot {
-			r.slot, r.outcome, r.sent = 0, "", 0
+			r.slot, r.outcome, r.sent, r.took = 0, "", 0, 0
 		}
 		if res.Why != "" {
 			r.known = false
 		}
+	case res.Why == Crowded:
+		r.full = now + r.retry
 	case res.Why != "":
 		r.known = false
 		r.nextLook = now
 	case token == c.Token:
-		r.slot, r.sent, r.outcome, r.pause, r.again = c.Slot, 0, "", 0, c.Again
+		r.slot, r.sent, r.took, r.outcome, r.pause, r.again = c.Slot, 0, 0, "", 0, c.Again
 	}
 	// A slot that was begun under a token that is gone stays open: nothing of it has been sent, but only this process knows. If the same
 	// token is in force again later, Next sends it; whoever has another treats it as one that may have run.
@@ -216,6 +258,7 @@
 		return
 	}
 	r.out = false
+	r.took += now - r.sentAt
 	repeats := o == Refused || (o == Unknown || o == Failed) && r.spec.Effect == Safe
 	if repeats && r.sent < r.spec.Tries {
 		r.pause = again
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -269,3 +269,148 @@
 		}
 	}
 }
+
+// TestRoom holds for every order of asks, ends and deaths: never more slots are open than may be, and where there is room and several ask,
+// who matters most is let in; one that asks no more keeps the others out for so many rounds only.
+func TestRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const tasks = 5
+		most := rapid.IntRange(1, 3).Draw(t, "most")
+		b := NewBook()
+		name := func(i int) string { return string(rune('a' + i)) }
+		open := map[int]bool{}
+		slots := map[int]int64{}
+		dead := rapid.IntRange(-1, tasks-1).Draw(t, "dead") // asks once, and never again
+		for round := range 200 {
+			asked := []int{}
+			for i := range tasks {
+				switch {
+				case open[i]:
+					if rapid.Bool().Draw(t, "ends") {
+						b.Apply(Command{Op: Finish, Task: name(i), Slot: slots[i], Token: 1, Outcome: Done})
+						delete(open, i)
+					}
+				case i != dead || round == 0:
+					asked = append(asked, i)
+				}
+			}
+			for _, i := range asked {
+				slot := slots[i] + 1
+				r := b.Apply(Command{Op: Begin, Task: name(i), Slot: slot, Token: 1, Most: most, Priority: i})
+				switch r.Why {
+				case "":
+					open[i], slots[i] = true, slot
+				case Crowded:
+				default:
+					t.Fatalf("%s", r.Why)
+				}
+			}
+			n := 0
+			for _, p := range b.Tasks {
+				if p.Open {
+					n++
+				}
+			}
+			if n > most || n != len(open) {
+				t.Fatalf("%d are open, %d may be", n, most)
+			}
+		}
+		if best := tasks - 1; slots[best] == 0 && best != dead {
+			t.Fatalf("%s matters most, and never had its turn: %v", name(best), slots)
+		}
+		total := int64(0)
+		for _, n := range slots {
+			total += n
+		}
+		if total < 20 {
+			t.Fatalf("one that asks no more keeps all others out: %v", slots)
+		}
+	})
+}
+
+// TestPriority: with room for one, and all waiting, the one that matters most goes first, then the one that has waited longest.
+func TestPriority(t *testing.T) {
+	b := NewBook()
+	begin := func(task string, priority int) Why {
+		return b.Apply(Command{Op: Begin, Task: task, Slot: 1, Token: 1, Most: 1, Priority: priority}).Why
+	}
+	end := func(task string) {
+		b.Apply(Command{Op: Finish, Task: task, Slot: 1, Token: 1, Outcome: Done})
+	}
+	if why := begin("first", 0); why != "" {
+		t.Fatal(why)
+	}
+	for _, c := range []struct {
+		task     string
+		priority int
+	}{{"low", 0}, {"old", 5}, {"new", 5}} {
+		if why := begin(c.task, c.priority); why != Crowded {
+			t.Fatalf("%s: %q", c.task, why)
+		}
+	}
+	end("first")
+	for _, want := range []string{"old", "new", "low"} {
+		for _, c := range []struct {
+			task     string
+			priority int
+		}{{"low", 0}, {"new", 5}, {"old", 5}} {
+			if b.Page(c.task).Slot == 1 {
+				continue
+			}
+			why := begin(c.task, c.priority)
+			if (why == "") != (c.task == want) {
+				t.Fatalf("%s begins: %q, where it is the turn of %s", c.task, why, want)
+			}
+			if why == "" {
+				break
+			}
+		}
+		end(want)
+	}
+}
+
+// TestBudget: what is spent stays spent over a change of the holder, a slot of the dead counts as all that it may have cost, and the next
+// period begins anew.
+func TestBudget(t *testing.T) {
+	s := spec(Keyed, Once)
+	s.Budget = Budget{Per: 10 * time.Second, Requests: 3}
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	b := NewBook()
+	wall := time.Unix(1000, 0)
+	play := func(r *Runner, token uint64, from, to time.Duration) (sent int) {
+		for now := from; now < to; now += 20 * time.Millisecond {
+			for range 4 {
+				a, _ := r.Next(now, wall.Add(now), token, time.Hour)
+				switch {
+				case a.Look:
+					r.Looked(now, now, b.Page("t"))
+				case a.Command != nil:
+					r.Answered(now, *a.Command, b.Apply(*a.Command), token)
+				case a.Send != nil:
+					sent++
+					r.Sent(now+10*time.Millisecond, Done, now)
+				}
+			}
+		}
+		return sent
+	}
+	first := NewRunner(s, 100*time.Millisecond, 300*time.Millisecond)
+	if n := play(first, 1, 0, 2*time.Second); n != 2 {
+		t.Fatalf("%d were sent in two seconds", n)
+	}
+	second := NewRunner(s, 100*time.Millisecond, 300*time.Millisecond)
+	if n := play(second, 2, 2*time.Second, 10*time.Second); n != 1 || !second.Spent() {
+		t.Fatalf("%d were sent of the one that was left; spent: %v", n, second.Spent())
+	}
+	// In the next period one slot is begun and its holder dies: it may have sent as often as it may.
+	b.Apply(Command{Op: Begin, Task: "t", Slot: b.Page("t").Slot + 1, Token: 3})
+	third := NewRunner(s, 100*time.Millisecond, 300*time.Millisecond)
+	if n := play(third, 4, 10*time.Second, 12*time.Second); n != 1 {
+		t.Fatalf("%d were sent after two tries of the dead", n)
+	}
+	if p := b.Page("t"); p.Requests != 3 || p.Period != 101 {
+		t.Fatalf("%+v", p)
+	}
+}
--- a/internal/tier/bench_test.go
+++ b/internal/tier/bench_test.go
@@ -34,7 +34,7 @@
 			all[2].Want("first", 1)
 			eventually(b, "the fleet stands", func() bool { return holds("first") })
 			for range b.N {
-				syncs := all[0].store.syncs.Load()
+				syncs := all[0].store.Syncs()
 				began := time.Now()
 				all[2].mu.Lock()
 				for i := range names {
@@ -50,7 +50,7 @@
 				}
 				took := time.Since(began)
 				b.ReportMetric(float64(names)/took.Seconds(), "leases/s")
-				b.ReportMetric(float64(all[0].store.syncs.Load()-syncs)/float64(names), "syncs/lease")
+				b.ReportMetric(float64(all[0].store.Syncs()-syncs)/float64(names), "syncs/lease")
 				var one []time.Duration
 				for i := range 200 {
 					name := fmt.Sprint("one-", i)
--- a/internal/tier/link.go
+++ b/internal/tier/link.go
@@ -235,11 +235,12 @@
 	queue   chan frame
 	take    func(*conn, byte, []byte)
 	told    func(error) // of a connection that could not be made or broke
+	met     func(hello) // what the other end said of itself
 	sent    *traffic
 }
 
 func newLink(address string, secret []byte, me func() hello, take func(*conn, byte, []byte), told func(error)) *link {
-	return &link{address: address, secret: secret, me: me, queue: make(chan frame, queueLen), take: take, told: told}
+	return &link{address: address, secret: secret, me: me, queue: make(chan frame, queueLen), take: take, told: told, met: func(hello) {}}
 }
 
 // send queues a frame, and reports whether there was room.
@@ -276,6 +277,7 @@
 		}
 		pause = 0
 		c.sent = l.sent
+		l.met(c.peer)
 		l.carry(ctx, c, f)
 	}
 }
--- /dev/null
+++ b/internal/tier/memory.go
@@ -0,0 +1,148 @@
+package tier
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"sorrelrudder/internal/council"
+)
+
+// promises keeps what a process has promised in the council: on a disk that outlives it, or for as long as it runs.
+type promises interface {
+	council.Disk
+	Identity() Identity
+	Admitted(fleet string, id uint64) error // it is kept before it is used
+	Found(names []string) error
+	Load() (council.Saved, error)
+	Syncs() int64
+	Close() error
+}
+
+// memory keeps a process' promises for as long as it runs. The next start has another store, and so another identity: it can't break what
+// this one has promised, since it never votes in its place.
+type memory struct{ id Identity }
+
+func newMemory(name string) *memory {
+	return &memory{Identity{Format: storeFormat, Name: name, Store: uuid.NewString()}}
+}
+
+func (m *memory) Save(council.Saved, bool) error { return nil }
+func (m *memory) Identity() Identity             { return m.id }
+func (m *memory) Syncs() int64                   { return 0 }
+func (m *memory) Close() error                   { return nil }
+
+func (m *memory) Admitted(fleet string, id uint64) error {
+	m.id.Fleet, m.id.ID = fleet, id
+	return nil
+}
+
+func (m *memory) Found([]string) error {
+	return errors.New("a council in memory is founded at a process that runs")
+}
+
+func (m *memory) Load() (council.Saved, error) { return council.Saved{}, nil }
+
+// found makes this process, which keeps its promises in memory and has no identity yet, the first seat of a new fleet. One that has heard
+// of a fleet refuses: two fleets of one file would each have a holder.
+func (t *Tier) found(s *seat) error {
+	m, ok := t.store.(*memory)
+	t.mu.Lock()
+	heard := cmp.Or(t.fleet, t.heard)
+	t.mu.Unlock()
+	switch {
+	case t.store == nil:
+		return fmt.Errorf("%q is not in the council", t.cfg.Name)
+	case !ok:
+		return errors.New("the council is on disk: 'tier init FILE' founds it")
+	case s.node != nil || m.id.ID != 0:
+		return fmt.Errorf("%q has the identity %d in the fleet %s already; nothing was changed", t.cfg.Name, m.id.ID, m.id.Fleet)
+	case heard != "":
+		return fmt.Errorf("a member is of the fleet %s: as long as one runs that knows it, no other is founded; nothing was changed", heard)
+	}
+	fleet := council.Founded(uuid.NewString(), t.cfg.Name, m.id.Store, t.cfg.Council)
+	fleet.Volatile = true
+	snap, err := council.FoundingSnapshot(fleet)
+	if err != nil {
+		return err
+	}
+	s.node, err = council.New(council.Config{ID: 1, Rules: t.cfg.Rules, Saved: council.Saved{Snapshot: snap, Hard: council.FoundingState()}})
+	if err != nil {
+		return err
+	}
+	if err := m.Admitted(fleet.ID, 1); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.fleet = fleet.ID
+	t.mu.Unlock()
+	t.log.Info("a fleet was founded in memory: it ends with the majority of its council", "fleet", fleet.ID)
+	return nil
+}
+
+// Found has the process found its fleet, whose council is in memory.
+func (o *Operator) Found(ctx context.Context) error {
+	a, err := o.askAll(ctx, asked{Found: true})
+	if err == nil && a.Why != "" {
+		err = errors.New(a.Why)
+	}
+	return err
+}
+
+// Handover has the process, which holds a lease, give it to a member as soon as nothing of it is out.
+func (o *Operator) Handover(ctx context.Context, name, to string) error {
+	a, err := o.askAll(ctx, asked{Handover: &handover{name, to}})
+	if err == nil && a.Why != "" {
+		err = errors.New(a.Why)
+	}
+	return err
+}
+
+// handover is a lease that is to go to a member.
+type handover struct {
+	Name string `json:"name"`
+	To   string `json:"to"`
+}
+
+// handOver begins to give a lease to a member: its task begins no further slot, and once what is out has ended the lease goes. This
+// process waits for it again then, behind all others.
+func (t *Tier) handOver(h handover) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch _, _, held := t.keeper.Holding(t.clock.Now(), h.Name); {
+	case !held:
+		return fmt.Errorf("%q is not held by %q", h.Name, t.cfg.Name)
+	case h.To == t.cfg.Name, t.cfg.Members[h.To] == "":
+		return fmt.Errorf("%q is no other member of the fleet", h.To)
+	case t.leaving:
+		return errors.New("the process is about to end")
+	}
+	t.passing[h.Name] = h.To
+	t.keep()
+	return nil
+}
+
+// pass gives away the leases that are to be handed over and of which nothing is out. The caller has mu.
+func (t *Tier) passOn() {
+	for name, to := range t.passing {
+		if r := t.runnerOf(name); r != nil && r.core.Busy() {
+			continue
+		}
+		delete(t.passing, name)
+		t.log.Info("lease handed over", "name", name, "to", to)
+		t.keeper.Handover(name, to)
+	}
+}
+
+// runnerOf is the runner of the task that a lease is for, nil if it is for none. The caller has mu.
+func (t *Tier) runnerOf(lease string) *runner {
+	for _, r := range t.runners {
+		if leaseOf(r.cfg.Name) == lease {
+			return r
+		}
+	}
+	return nil
+}
--- a/internal/tier/operate.go
+++ b/internal/tier/operate.go
@@ -37,8 +37,13 @@
 func (o *Operator) Close() error { return o.c.Close() }
 
 func (o *Operator) ask(ctx context.Context, q council.Request) (asked, error) {
+	return o.askAll(ctx, asked{Request: q})
+}
+
+func (o *Operator) askAll(ctx context.Context, q asked) (asked, error) {
 	o.last++
-	data, err := json.Marshal(asked{Handle: o.last, Request: q})
+	q.Handle = o.last
+	data, err := json.Marshal(q)
 	if err != nil {
 		return asked{}, err
 	}
--- a/internal/tier/seat.go
+++ b/internal/tier/seat.go
@@ -1,6 +1,7 @@
 package tier
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/http"
@@ -18,8 +19,12 @@
 func (t *Tier) sit(s *seat) error {
 	id := t.store.Identity()
 	if id.ID == 0 {
+		found := "tier init"
+		if t.cfg.Memory {
+			found = "tier found"
+		}
 		t.log.Warn("this process' store has no identity: it asks the council for one, and votes only once it is admitted "+
-			"('sorrelrudder tier init' founds a fleet, once)", "store", t.cfg.Store)
+			"('sorrelrudder "+found+"' founds a fleet, once)", "store", cmp.Or(t.cfg.Store, "in memory"))
 		return nil
 	}
 	saved, err := t.store.Load()
@@ -77,7 +82,7 @@
 		return
 	}
 	s.admitAt = now + t.cfg.Rules.RenewEvery()
-	q := council.Request{Seat: &council.SeatCommand{Op: council.Admit, Name: t.cfg.Name, Store: t.store.Identity().Store}}
+	q := council.Request{Seat: &council.SeatCommand{Op: council.Admit, Name: t.cfg.Name, Store: t.store.Identity().Store, Memory: t.cfg.Memory}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.guide.Silence(now, t.cfg.Name) // no seat yet
@@ -189,9 +194,9 @@
 	}
 	path, _, _ := strings.Cut(r.cfg.Path, "?")
 	a, err := t.sender.Do(ctx, r.cfg.Pool, &message.Request{
-		Method: r.cfg.Method, URI: r.cfg.Path, Path: path, Host: r.cfg.Pool, Header: header, Length: int64(len(r.cfg.Body)), Body: []byte(r.cfg.Body),
+		Method: r.cfg.Method, URI: r.cfg.Path, Path: path, Host: cmp.Or(r.cfg.Host, r.cfg.Pool), Header: header, Length: int64(len(r.cfg.Body)), Body: []byte(r.cfg.Body),
 	})
-	outcome := outcomeOf(a, err)
+	outcome := outcomeOf(a, err, r.cfg.Plain)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -199,8 +204,9 @@
 	t.keep()
 }
 
-// outcomeOf is what an answer says of a slot: a refusal promises that nothing has run, a failure promises nothing.
-func outcomeOf(a message.Answer, err error) task.Outcome {
+// outcomeOf is what an answer says of a slot: a refusal promises that nothing has run, a failure promises nothing. The refusal of a server
+// that speaks plain HTTP promises nothing either; its answer bears the mark of having been passed on, and this process' own does not.
+func outcomeOf(a message.Answer, err error, plain bool) task.Outcome {
 	bad, isBad := err.(message.Bad)
 	switch {
 	case isBad && bad.Refused():
@@ -211,6 +217,8 @@
 		return task.Unknown
 	case a.Status >= 200 && a.Status < 300:
 		return task.Done
+	case plain && a.Header.Get("Via") != "":
+		return task.Failed
 	case a.Status == http.StatusServiceUnavailable, a.Status == http.StatusTooManyRequests:
 		return task.Refused
 	}
@@ -252,7 +260,7 @@
 		SentFrames: t.sent.frames.Load(), SentBytes: t.sent.bytes.Load(),
 	}
 	if t.store != nil {
-		s.Syncs = t.store.syncs.Load()
+		s.Syncs = t.store.Syncs()
 	}
 	for _, name := range slices.Clone(t.keeper.Held(now)) {
 		if token, until, ok := t.keeper.Holding(now, name); ok {
--- a/internal/tier/store.go
+++ b/internal/tier/store.go
@@ -137,6 +137,9 @@
 // Identity is whose store it is.
 func (s *Store) Identity() Identity { return s.id }
 
+// Syncs counts the writes that were synced, since it was opened.
+func (s *Store) Syncs() int64 { return s.syncs.Load() }
+
 // Close closes the file.
 func (s *Store) Close() error { return s.db.Close() }
 
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -3,6 +3,7 @@
 package tier
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,7 +28,8 @@
 type Config struct {
 	Name    string
 	Secret  string            // file
-	Store   string            // file; empty: this process has no seat
+	Store   string            // file; empty: this process has no seat, or keeps what it promises in memory
+	Memory  bool              // the council is in memory: with its majority all that was promised is forgotten
 	Council []string          // who may have a seat
 	Members map[string]string // addresses by name
 	Rules   lease.Rules
@@ -39,6 +41,9 @@
 type Task struct {
 	task.Spec
 	Pool, Method, Path, Tenant, Body string
+
+	Plain bool   // the pool speaks plain HTTP
+	Host  string // whom its servers are asked for; empty: the pool's name
 }
 
 // Sender sends a request through the process' pools, under the four rules.
@@ -64,7 +69,7 @@
 	log    *slog.Logger
 	clock  *Clock
 	secret []byte
-	store  *Store // nil: no seat
+	store  promises // nil: no seat
 	ln     net.Listener
 	sender Sender
 	fleet  string // of the store, once it is known
@@ -93,6 +98,8 @@
 	refused  int // connections turned away since that was logged
 	toldAt   time.Duration
 	linkErr  map[string]string
+	heard    string            // a fleet that a member is of
+	passing  map[string]string // leases that go to a member once nothing of them is out
 }
 
 type runner struct {
@@ -136,15 +143,18 @@
 	t := &Tier{
 		cfg: cfg, log: log.With("tier", cfg.Name), clock: clock, secret: secret, inbox: make(chan func(*seat), inboxLen),
 		keeper: lease.NewKeeper(cfg.Rules, cfg.Name, uuid.NewString()), runners: map[string]*runner{}, links: map[string]*link{},
-		inward: map[string]*conn{}, conns: map[*conn]struct{}{}, asks: map[uint64]*call{}, held: map[string]uint64{}, linkErr: map[string]string{},
+		inward: map[string]*conn{}, conns: map[*conn]struct{}{}, asks: map[uint64]*call{}, held: map[string]uint64{}, linkErr: map[string]string{}, passing: map[string]string{},
 		toldAt: -complainTime, guide: council.NewGuide(cfg.Council, len(cfg.Name), cfg.Rules.RenewEvery()),
 	}
 	t.ctx, t.stop = context.WithCancel(context.Background())
 	if cfg.Store != "" {
-		if t.store, err = OpenStore(cfg.Store, cfg.Name); err != nil {
+		store, err := OpenStore(cfg.Store, cfg.Name)
+		if err != nil {
 			return nil, err
 		}
-		t.fleet = t.store.Identity().Fleet
+		t.store, t.fleet = store, store.Identity().Fleet
+	} else if cfg.Memory && slices.Contains(cfg.Council, cfg.Name) {
+		t.store = newMemory(cfg.Name)
 	}
 	if t.ln, err = net.Listen("tcp", cfg.Members[cfg.Name]); err != nil {
 		if t.store != nil {
@@ -326,6 +336,7 @@
 		return
 	}
 	now := t.clock.Now()
+	t.passOn()
 	asks, at := t.keeper.Next(now)
 	for _, a := range asks {
 		t.call(&call{q: council.Request{Lease: &a}, then: func(r council.Response) {
@@ -338,7 +349,7 @@
 	wall := time.Now()
 	for _, r := range t.runners {
 		token, until, _ := t.keeper.Holding(now, leaseOf(r.cfg.Name))
-		if t.leaving && !r.core.Busy() {
+		if _, passing := t.passing[leaseOf(r.cfg.Name)]; (t.leaving || passing) && !r.core.Busy() {
 			continue
 		}
 		act, next := r.core.Next(now, wall, token, until)
@@ -456,6 +467,11 @@
 	Request  council.Request  `json:"request,omitzero"`
 	Response council.Response `json:"response,omitzero"`
 	Status   *Status          `json:"status,omitempty"`
+
+	// Of operators, to this very process; Why says what became of it.
+	Found    bool      `json:"found,omitempty"`
+	Handover *handover `json:"handover,omitempty"`
+	Why      string    `json:"why,omitempty"`
 }
 
 // answered takes an answer of the council. One who does not lead says who may: the same request goes there, a few times.
@@ -504,12 +520,19 @@
 			t.log.Warn("the link to a member is broken", "member", name, "err", err)
 		}
 	})
-	l.sent = &t.sent
+	l.sent, l.met = &t.sent, t.hear
 	t.links[name] = l
 	t.done.Go(func() { l.run(t.ctx) })
 	return l
 }
 
+// hear notes of which fleet a member is.
+func (t *Tier) hear(h hello) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = cmp.Or(h.Fleet, t.heard)
+}
+
 // post has the council's goroutine do something; it waits for room.
 func (t *Tier) post(f func(*seat)) {
 	select {
@@ -581,6 +604,7 @@
 	}
 	c.sent = &t.sent
 	t.mu.Lock()
+	t.heard = cmp.Or(c.peer.Fleet, t.heard)
 	t.conns[c] = struct{}{}
 	t.inward[c.peer.Name] = c
 	t.mu.Unlock()
@@ -659,8 +683,9 @@
 
 // serveAsk answers a request of another process, or of an operator: of those it finds out itself who can answer.
 func (t *Tier) serveAsk(c *conn, a asked) {
-	answer := func(r council.Response, s *Status) {
-		data, err := json.Marshal(asked{Handle: a.Handle, Response: r, Status: s})
+	say := func(b asked) {
+		b.Handle = a.Handle
+		data, err := json.Marshal(b)
 		if err != nil {
 			t.log.Error("an answer that can't be written", "err", err)
 			return
@@ -669,7 +694,19 @@
 			c.Close()
 		}
 	}
+	answer := func(r council.Response, s *Status) { say(asked{Response: r, Status: s}) }
+	done := func(err error) {
+		if err != nil {
+			say(asked{Why: err.Error()})
+			return
+		}
+		say(asked{})
+	}
 	switch {
+	case c.peer.Name == operatorName && a.Found:
+		t.post(func(s *seat) { done(t.found(s)) })
+	case c.peer.Name == operatorName && a.Handover != nil:
+		done(t.handOver(*a.Handover))
 	case a.Request.State:
 		t.status(func(s *Status) { answer(council.Response{}, s) })
 	case c.peer.Name == operatorName:
