--- a/cmd/sorrelrudder/emulate.go
+++ b/cmd/sorrelrudder/emulate.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"runtime"
+	"strings"
 	"sync"
 	"text/tabwriter"
+	"time"
 
 	"sorrelrudder/internal/dayfile"
 	"sorrelrudder/internal/emulator"
@@ -19,19 +22,88 @@
 	File string `arg:"" help:"The day's file, such as deploy/day.toml."`
 	Runs int    `default:"5" help:"Runs, each with the next seed; the figures are their means."`
 	JSON bool   `name:"json" help:"Print as JSON, one object a run."`
+
+	Scale     float64       `default:"1" help:"Times as many instances, servers, requests and calls for the list."`
+	Share     []string      `help:"Play each seed also with this known to all instances, and print the difference: dead (servers that do not answer), room (what probes are told), learn (slowness, for one that starts), list (for one that starts)."`
+	Witnesses int           `default:"2" help:"How many have to tell of a server within a second for others to believe that it is dead."`
+	Lag       time.Duration `default:"100ms" help:"How long after one has learnt it the others know what --share names."`
+}
+
+// hearsay is what --share names.
+func (c *emulateCmd) hearsay() (emulator.Hearsay, error) {
+	h := emulator.Hearsay{Lag: c.Lag, Witnesses: c.Witnesses}
+	for _, kind := range c.Share {
+		switch kind {
+		case "dead":
+			h.Dead = true
+		case "room":
+			h.Room = true
+		case "learn":
+			h.Learn = true
+		case "list":
+			h.List = true
+		default:
+			return h, fmt.Errorf("%w: --share %s: there are dead, room, learn and list", errDay, kind)
+		}
+	}
+	if c.Lag <= 0 {
+		return h, fmt.Errorf("%w: --lag %v: nobody knows it sooner than it is learnt", errDay, c.Lag)
+	}
+	return h, nil
 }
 
 // Run plays the day with several seeds, on all cores.
 func (c *emulateCmd) Run(s *streams) error {
-	day, err := dayfile.Load(c.File)
+	day, err := dayfile.LoadScaled(c.File, c.Scale)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errDay, err)
 	}
 	if c.Runs < 1 || c.Runs > mostRuns {
 		return fmt.Errorf("%w: --runs %d, outside 1 to %d", errDay, c.Runs, mostRuns)
 	}
-	results := make([]*emulator.Result, c.Runs)
-	errs := make([]error, c.Runs)
+	hearsay, err := c.hearsay()
+	if err != nil {
+		return err
+	}
+	results, err := playRuns(day, c.Runs)
+	if err != nil {
+		return err
+	}
+	if len(c.Share) > 0 {
+		day.Hearsay = hearsay
+		shared, err := playRuns(day, c.Runs)
+		if err != nil {
+			return err
+		}
+		return c.printPairs(s, results, shared)
+	}
+	breaks := 0
+	for i, r := range results {
+		breaks += r.Breaks
+		for _, b := range r.Broken {
+			fmt.Fprintf(s.err, "seed %d: %s\n", day.Seed+uint64(i), b)
+		}
+	}
+	if c.JSON {
+		out := json.NewEncoder(s.out)
+		for i, r := range results {
+			if err := out.Encode(map[string]any{"seed": day.Seed + uint64(i), "worth_served": r.Total.Share(), "breaks": r.Breaks, "seconds": r.Seconds}); err != nil {
+				return err
+			}
+		}
+	} else if err := printDay(s, results); err != nil {
+		return err
+	}
+	if breaks > 0 {
+		return fmt.Errorf("%w: %d breaches of the rules", errScenario, breaks)
+	}
+	return nil
+}
+
+// playRuns plays a day with so many seeds, on all cores.
+func playRuns(day emulator.Day, runs int) ([]*emulator.Result, error) {
+	results := make([]*emulator.Result, runs)
+	errs := make([]error, runs)
 	var work sync.WaitGroup
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
 	for i := range results {
@@ -42,35 +114,71 @@
 			d.Seed += uint64(i)
 			w, err := emulator.New(d)
 			if err != nil {
-				errs[i] = err
+				errs[i] = fmt.Errorf("%w: %w", errDay, err)
 				return
 			}
 			results[i] = w.Run()
 		})
 	}
 	work.Wait()
+	return results, errors.Join(errs...)
+}
+
+// worstSpan is how many seconds the worst part of a day lasts that is told.
+const worstSpan = 3
+
+// pairOf is what a run came to, as far as pairs are compared by it.
+func pairOf(r *emulator.Result) (share, worst, lost, refused float64) {
+	worst = 1
+	for at := 2; at+worstSpan <= len(r.Seconds)-1; at++ {
+		if s := r.Span(at, at+worstSpan); s.Requests > 0 {
+			worst = min(worst, s.Share())
+		}
+	}
+	t := r.Total
+	return t.Share(), worst, float64(t.Unreached+t.TimedOut) / float64(max(1, t.Sends)), float64(t.Refused) / float64(max(1, t.Tries))
+}
+
+// printPairs prints what sharing gains, in pairs of equal seeds: the mean of the differences and its standard error.
+func (c *emulateCmd) printPairs(s *streams, without, with []*emulator.Result) error {
+	names := [4]string{"worth served", fmt.Sprintf("worst %d s", worstSpan), "sends lost", "tries refused"}
+	var base, diff, squares [4]float64
 	breaks := 0
-	for i, r := range results {
-		if errs[i] != nil {
-			return fmt.Errorf("%w: %w", errDay, errs[i])
+	n := float64(len(with))
+	rows := make([][4]float64, len(with))
+	for i := range with {
+		a, b := [4]float64{}, [4]float64{}
+		a[0], a[1], a[2], a[3] = pairOf(without[i])
+		b[0], b[1], b[2], b[3] = pairOf(with[i])
+		breaks += with[i].Breaks
+		for k := range a {
+			base[k] += a[k] / n
+			rows[i][k] = b[k] - a[k]
+			diff[k] += rows[i][k] / n
 		}
-		breaks += r.Breaks
-		for _, b := range r.Broken {
-			fmt.Fprintf(s.err, "seed %d: %s\n", day.Seed+uint64(i), b)
+	}
+	for _, row := range rows {
+		for k := range row {
+			squares[k] += (row[k] - diff[k]) * (row[k] - diff[k])
 		}
 	}
 	if c.JSON {
-		out := json.NewEncoder(s.out)
-		for i, r := range results {
-			if err := out.Encode(map[string]any{"seed": day.Seed + uint64(i), "worth_served": r.Total.Share(), "breaks": r.Breaks, "seconds": r.Seconds}); err != nil {
-				return err
-			}
+		return json.NewEncoder(s.out).Encode(map[string]any{"share": c.Share, "lag_s": c.Lag.Seconds(), "runs": len(with), "without": base, "difference": diff, "columns": names, "breaks": breaks})
+	}
+	t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\twithout\twith %s after %v\n", strings.Join(c.Share, ", "), c.Lag)
+	for k, name := range names {
+		spread := ""
+		if len(with) > 1 {
+			spread = fmt.Sprintf(" +- %.4f", math.Sqrt(squares[k]/(n-1)/n))
 		}
-	} else if err := printDay(s, results); err != nil {
+		fmt.Fprintf(t, "%s\t%.4f\t%+.4f%s\n", name, base[k], diff[k], spread)
+	}
+	if err := t.Flush(); err != nil {
 		return err
 	}
 	if breaks > 0 {
-		return fmt.Errorf("%w: %d breaches of the rules", errScenario, breaks)
+		return fmt.Errorf("%w: %d breaches of the rules with it", errScenario, breaks)
 	}
 	return nil
 }
--- a/internal/dayfile/dayfile.go
+++ b/internal/dayfile/dayfile.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -177,14 +178,32 @@
 	return Parse(path, text)
 }
 
+// LoadScaled reads a day's file for times as many instances, servers, requests and calls.
+func LoadScaled(path string, times float64) (emulator.Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return emulator.Day{}, err
+	}
+	return parse(path, text, times)
+}
+
 // Parse reads a day's text; name is what errors call it.
-func Parse(name string, text []byte) (emulator.Day, error) {
+func Parse(name string, text []byte) (emulator.Day, error) { return parse(name, text, 1) }
+
+func parse(name string, text []byte, times float64) (emulator.Day, error) {
 	f := Usual()
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&f); err != nil {
 		return emulator.Day{}, explain(name, err)
 	}
+	if times != 1 {
+		whole := func(n int) int { return int(math.Round(float64(n) * times)) }
+		f.Instances, f.Servers, f.Clients.Rate, f.Discovery.Calls = whole(f.Instances), whole(f.Servers), f.Clients.Rate*times, f.Discovery.Calls*times
+		for i := range f.Faults {
+			f.Faults[i].Servers = whole(f.Faults[i].Servers)
+		}
+	}
 	day, err := f.Day()
 	if err != nil {
 		return emulator.Day{}, fmt.Errorf("%s: %w", name, err)
--- a/internal/emulator/cases_test.go
+++ b/internal/emulator/cases_test.go
@@ -174,3 +174,40 @@
 
 // maxSet is the usual number of servers that an instance chooses among.
 const maxSet = 5
+
+// Hearsay of dead servers, of which two instances have to tell, spares at least half of the sends that reach nobody, and costs no service; one
+// instance that says all the time that every server is dead costs next to nothing, even if nobody else has to tell.
+func TestHearsayOfTheDead(t *testing.T) {
+	t.Parallel()
+	cut := func(h Hearsay, liar bool) *Result {
+		day := fleet()
+		day.Length, day.Hearsay = 12*time.Second, h
+		day.Discovery.Notice = 5 * time.Second
+		day.Steps = []Step{
+			{0, func(w *World) { w.LoseAnswers(0.005); w.ResetRequests(0.005) }},
+			{3 * time.Second, func(w *World) { w.CutOff(aFifth) }},
+			{9 * time.Second, func(w *World) { w.Rejoin() }},
+		}
+		for at := 2 * time.Second; liar && at < day.Length; at += 200 * ms {
+			day.Steps = append(day.Steps, Step{at, func(w *World) {
+				for _, s := range w.servers {
+					for _, in := range w.instances {
+						in.do(func(now policy.Time) { in.b.Hint(now, policy.ServerID(s.id)) })
+					}
+				}
+			}})
+		}
+		return play(t, day)
+	}
+	alone := cut(Hearsay{}, false)
+	heard := cut(Hearsay{Lag: 100 * ms, Dead: true, Witnesses: 2}, false)
+	lied := cut(Hearsay{}, true)
+	lost := func(r *Result) int { return r.Total.Unreached + r.Total.TimedOut }
+	t.Logf("alone: share %.3f, %d lost; with hearsay: %.3f, %d; with a liar: %.3f", alone.Total.Share(), lost(alone), heard.Total.Share(), lost(heard), lied.Total.Share())
+	if 2*lost(heard) > lost(alone) || heard.Total.Share() < alone.Total.Share()-0.02 {
+		t.Errorf("hearsay: %d sends lost for %d, share %.3f for %.3f", lost(heard), lost(alone), heard.Total.Share(), alone.Total.Share())
+	}
+	if lied.Total.Share() < alone.Total.Share()-0.1 {
+		t.Errorf("a liar costs %.3f of the service", alone.Total.Share()-lied.Total.Share())
+	}
+}
--- /dev/null
+++ b/internal/emulator/hearsay.go
@@ -0,0 +1,95 @@
+package emulator
+
+import (
+	"time"
+
+	"sorrelrudder/policy"
+)
+
+// sayAgain is how long one does not tell others of a server again.
+const sayAgain = time.Second
+
+// tells has the others hear of a server that the module has just left out, after the lag. What comes of it is the module's: see
+// policy.Balancer.Hint.
+func (in *instance) tells(now policy.Time, s *server, st policy.Status) {
+	w := in.w
+	if !w.day.Hearsay.Dead || s == nil || st != policy.ConnectFailed && st != policy.Timeout && st != policy.Reset {
+		return
+	}
+	id := policy.ServerID(s.id)
+	if at, had := in.said[id]; had && now < at+sayAgain || in.b.Learnt(now).Servers[id].EjectedFor == 0 {
+		return
+	}
+	in.said[id] = now
+	w.after(w.day.Hearsay.Lag, func() {
+		if !w.enough(id, in) {
+			return
+		}
+		for _, other := range w.instances {
+			if other != in {
+				other.do(func(now policy.Time) { other.b.Hint(now, id) })
+			}
+		}
+	})
+}
+
+// witness is one that told of a server, and when.
+type witness struct {
+	in *instance
+	at policy.Time
+}
+
+// enough notes a witness, and reports whether as many as are wanted have told of the server of late.
+func (w *World) enough(id policy.ServerID, in *instance) bool {
+	kept := w.witnesses[id][:0]
+	for _, x := range w.witnesses[id] {
+		if x.in != in && x.at > w.now-sayAgain {
+			kept = append(kept, x)
+		}
+	}
+	if w.witnesses == nil {
+		w.witnesses = map[policy.ServerID][]witness{}
+	}
+	w.witnesses[id] = append(kept, witness{in, w.now})
+	return len(w.witnesses[id]) >= max(1, w.day.Hearsay.Witnesses)
+}
+
+// reports has the others take a report for one of their own probes', after the lag. That would be bold; it measures what room that all see
+// would be worth at most.
+func (in *instance) reports(to policy.ServerID, st policy.Status, l *policy.Load) {
+	w := in.w
+	if !w.day.Hearsay.Room || st != policy.OK {
+		return
+	}
+	w.after(w.day.Hearsay.Lag, func() {
+		for _, other := range w.instances {
+			if other != in && other.known[to] != nil && other.known[to].zone == other.zone {
+				other.do(func(now policy.Time) {
+					other.b.Probed(now, policy.ProbeResult{Server: to, Status: policy.OK, Load: l}, other)
+				})
+			}
+		}
+	})
+}
+
+// inherit has one that starts while others run learn from one of these what it would find out for itself: how slow servers are, and the line
+// of delays. Ejections are left out.
+func (in *instance) inherit() {
+	w := in.w
+	if !w.day.Hearsay.Learn || w.At() <= w.day.Start {
+		return
+	}
+	for range 20 {
+		from := w.instances[w.rng.IntN(len(w.instances))]
+		if from == in || !from.up {
+			continue
+		}
+		l := from.b.Learnt(w.now)
+		for id, s := range l.Servers {
+			s.EjectedFor, s.Fails = 0, 0
+			l.Servers[id] = s
+		}
+		w.after(w.day.Hearsay.Lag, func() { in.do(func(now policy.Time) { in.b.Adopt(now, l) }) })
+		return
+	}
+}
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -21,6 +21,7 @@
 	watcher *watcher
 	after   []func()
 	inside  bool
+	said    map[policy.ServerID]policy.Time // when it told others of a server
 }
 
 // try is a request as an instance has it.
@@ -65,6 +66,7 @@
 	in.seed++
 	b, err := policy.New(cfg, in.seed)
 	in.b, in.tries, in.known, in.idle, in.watcher = b, map[policy.RequestID]*try{}, map[policy.ServerID]*server{}, map[*server]int{}, nil
+	in.said = map[policy.ServerID]policy.Time{}
 	return err
 }
 
@@ -99,7 +101,11 @@
 			known = append(known, c.entry)
 		}
 	}
+	if in.w.day.Hearsay.List && in.w.At() > in.w.day.Start {
+		known = in.w.list.whole()
+	}
 	in.told(policy.ListCached, known)
+	in.inherit()
 }
 
 // Restart kills the instances that match and starts them anew after down; clients of one that is down are told nothing and try
@@ -284,6 +290,7 @@
 			t.end(served, 0)
 		}
 		in.w.watch.outcome(a, st)
+		defer in.tells(now, a.s, st)
 		in.b.Outcome(now, policy.Outcome{ID: t.id, Attempt: a.number, Server: policy.ServerID(a.s.id), Status: st, Delay: now - a.sent, Closed: t.ended}, in)
 		in.forget(t)
 	})
@@ -395,7 +402,11 @@
 	b := in.b
 	answer := func(st policy.Status, l *policy.Load) {
 		if in.b == b {
-			in.do(func(now policy.Time) { in.b.Probed(now, policy.ProbeResult{Server: to, Status: st, Load: l}, in) })
+			in.do(func(now policy.Time) {
+				in.b.Probed(now, policy.ProbeResult{Server: to, Status: st, Load: l}, in)
+				in.tells(now, s, st)
+				in.reports(to, st, l)
+			})
 		}
 	}
 	if s == nil {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -80,6 +80,18 @@
 	Module    policy.Config // Ordinal, GroupSize, Zone, Classes and the cold figures are the day's
 	Steps     []Step
 	Start     time.Duration // over which the instances start
+	Hearsay   Hearsay
+}
+
+// Hearsay is what instances know of each other's state, each Lag after one has learnt it: to measure what sharing it would be worth. With a
+// Lag of 0 nothing is shared.
+type Hearsay struct {
+	Lag       time.Duration
+	Witnesses int  // that have to tell of a server within a second, for others to believe it
+	Dead      bool // servers that one has found unreachable or silent: others leave them out until a probe of their own is answered
+	Room      bool // what one's probes are told: others take the report for one of their own
+	Learn     bool // slowness of servers and the line of delays, for one that starts
+	List      bool // the list, for one that starts
 }
 
 // event is due at a time; those of one time come in the order in which they were asked for.
@@ -121,6 +133,7 @@
 	instances []*instance
 	weights   []float64 // of the instances, summed up
 	watch     *observer
+	witnesses map[policy.ServerID][]witness
 	settled   func(*attempt, policy.Status) // where it is set, told the end of each attempt
 	Result    Result
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -616,6 +616,15 @@
 	}
 }
 
+// Hint takes hearsay that a server does not answer: it is left out until a probe of this sidecar's own has been answered, and counts
+// as no failure. Where that would leave out more than a third of the servers it is not believed: a liar costs no more than that.
+func (b *Balancer) Hint(now Time, id ServerID) {
+	s := b.servers[id]
+	if s != nil && s.State == Ready && s.ejected == 0 && b.cfg.MayProbe && 3*(b.countLeftOut(now)+1) <= len(b.ready) {
+		s.marked, s.ejected = false, now+firstEject
+	}
+}
+
 // Avoided is how many servers that the list names ready are left out after failures; one that is silent for the moment is not.
 func (b *Balancer) Avoided(now Time) int {
 	if bad := b.countLeftOut(now); 2*bad <= len(b.ready) { // see set
