--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -47,6 +47,7 @@
 type Figures struct {
 	Suspicions, Objections, Deaths int // found here; of this process; held to be dead here
 	Syncs, Equal                   int // looks at another's copies, and those that found no difference
+	Helped                         int // bytes of entries that went to those that catch up
 	Turned                         int // asks of those that catch up that were turned away for want of room
 }
 
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,412 @@
+package replica
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func names(n int) (all []string) {
+	for i := range n {
+		all = append(all, string(rune('a'+i%26))+fmt.Sprint(i/26))
+	}
+	for i := range min(n, 26) {
+		all[i] = string(rune('a' + i))
+	}
+	return all
+}
+
+func config(name string, size int, seed uint64) Config {
+	c := Usual()
+	c.Name, c.Members, c.Kinds, c.Decided, c.Seed = name, names(size), kinds, decided, seed
+	c.Keep = 10 * time.Second
+	return c
+}
+
+// network carries messages between nodes in virtual time.
+type network struct {
+	t     *testing.T
+	now   time.Duration
+	queue pending
+	seq   int
+	rng   *rand.Rand
+	up    map[string]*Node
+	size  int
+	cut   func(from, to string) bool
+	late  time.Duration // messages are late by up to so much
+	twice bool
+	bytes map[string]int // that went to somebody
+}
+
+type item struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type pending []item
+
+func (p pending) Len() int { return len(p) }
+func (p pending) Less(i, j int) bool {
+	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].seq < p[j].seq
+}
+func (p pending) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
+func (p *pending) Push(x any)   { *p = append(*p, x.(item)) }
+func (p *pending) Pop() any {
+	last := len(*p) - 1
+	x := (*p)[last]
+	*p = (*p)[:last]
+	return x
+}
+
+func newNetwork(t *testing.T, size int) *network {
+	w := &network{t: t, rng: rand.New(rand.NewPCG(5, 5)), up: map[string]*Node{}, size: size, bytes: map[string]int{}}
+	for _, name := range names(size) {
+		w.start(name)
+	}
+	w.until("all know of all", 20*time.Second, func() bool {
+		for _, n := range w.up {
+			if n.Count(Alive) != size-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return w
+}
+
+func (w *network) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, item{w.now + d, w.seq, do})
+}
+
+// start starts a process that knows nothing; one that has the name is gone.
+func (w *network) start(name string) *Node {
+	n := New(w.now, config(name, w.size, w.rng.Uint64()))
+	w.up[name] = n
+	w.arm(name, n)
+	return n
+}
+
+func (w *network) arm(name string, n *Node) {
+	w.after(max(ms, n.Next()-w.now), func() {
+		if w.up[name] == n {
+			w.send(name, n.Tick(w.now))
+			w.arm(name, n)
+		}
+	})
+}
+
+func (w *network) send(from string, out []Out) {
+	for _, o := range out {
+		m, err := Decode(o.Message.Encode())
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		if w.cut != nil && w.cut(from, o.To) {
+			continue
+		}
+		w.bytes[o.To] += len(o.Message.Encode())
+		copies := 1
+		if w.twice {
+			copies = 2
+		}
+		for range copies {
+			d := ms + time.Duration(w.rng.Int64N(int64(w.late+ms)))
+			w.after(d, func() {
+				if to := w.up[o.To]; to != nil {
+					w.send(o.To, to.Take(w.now, from, m))
+				}
+			})
+		}
+	}
+}
+
+func (w *network) run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(item)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// until runs until something is so, and fails if that takes too long.
+func (w *network) until(what string, most time.Duration, is func() bool) time.Duration {
+	w.t.Helper()
+	began := w.now
+	for !is() {
+		if w.now > began+most {
+			w.t.Fatalf("after %v not so: %s", most, what)
+		}
+		w.run(20 * ms)
+	}
+	return w.now - began
+}
+
+// same reports whether all hold the same copies.
+func (w *network) same() bool {
+	first := w.up["a"]
+	for _, n := range w.up {
+		for _, kind := range n.copies.kinds {
+			if n.copies.Sum(kind) != first.copies.Sum(kind) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (w *network) holds(at, owner, key string) bool {
+	e, ok := w.up[at].copies.Get(owner, key)
+	return ok && !e.Gone()
+}
+
+// TestSplit: both sides of a split write, one decides, each gives the other up; after the healing all hold the same, the decision and what is
+// newest; what was taken back meanwhile does not come back.
+func TestSplit(t *testing.T) {
+	w := newNetwork(t, 10)
+	w.up["a"].Put("dead/old", []byte("1"))
+	w.up["j"].Put("dead/old", []byte("1"))
+	w.until("all have it", 5*time.Second, w.same)
+	side := func(name string) bool { return name < "f" }
+	w.cut = func(from, to string) bool { return side(from) != side(to) }
+	w.run(time.Second)
+	w.up["b"].Put("dead/box", []byte("1"))
+	w.up["i"].Put("dead/box", []byte("2"))
+	w.up["a"].Delete("dead/old")
+	w.up["c"].Decide("order/box", 7, []byte("avoid"))
+	w.until("the other side is given up", 2*time.Minute, func() bool {
+		n := w.up["b"]
+		return n.Count(Dead) == 5 && !w.holds("b", "j", "dead/old") && !w.holds("h", "a", "dead/old")
+	})
+	w.cut = nil
+	took := w.until("all hold the same of all", 20*time.Second, func() bool {
+		for _, n := range w.up {
+			if n.Count(Alive) != 9 {
+				return false
+			}
+		}
+		return w.same()
+	})
+	t.Logf("healed within %v", took)
+	for name := range w.up {
+		if !w.holds(name, "b", "dead/box") || !w.holds(name, "i", "dead/box") || !w.holds(name, "j", "dead/old") || !w.holds(name, Council, "order/box") {
+			t.Errorf("%s lacks something", name)
+		}
+		if w.holds(name, "a", "dead/old") {
+			t.Errorf("%s holds what was taken back", name)
+		}
+	}
+}
+
+// TestCutOffOne: one that was cut off from 49, long enough to be given up, and wrote meanwhile.
+func TestCutOffOne(t *testing.T) {
+	w := newNetwork(t, 30)
+	w.up["c"].Put("dead/x", []byte("1"))
+	w.until("all have it", 5*time.Second, w.same)
+	w.cut = func(from, to string) bool { return from == "c" || to == "c" }
+	w.until("it is given up", 2*time.Minute, func() bool { return !w.holds("a", "c", "dead/x") })
+	inc := w.up["c"].Inc()
+	w.up["c"].Put("dead/y", []byte("1"))
+	w.cut = nil
+	w.until("all hold what it writes", 30*time.Second, func() bool { return w.same() && w.holds("a", "c", "dead/x") && w.holds("a", "c", "dead/y") })
+	if w.up["c"].Inc() <= inc {
+		t.Error("it was given up, and goes on with the incarnation that was")
+	}
+}
+
+// TestOneWay: nothing gets from one to another, both ways to all others go: nobody is held for dead.
+func TestOneWay(t *testing.T) {
+	w := newNetwork(t, 8)
+	w.cut = func(from, to string) bool { return from == "a" && to == "b" }
+	w.run(time.Minute)
+	for name, n := range w.up {
+		if n.Count(Dead) > 0 {
+			t.Errorf("%s holds somebody for dead", name)
+		}
+	}
+	w.up["a"].Put("dead/x", nil)
+	w.up["a"].Put("dead/y", []byte("1"))
+	w.until("what it writes comes by way of others", 10*time.Second, func() bool { return w.holds("b", "a", "dead/y") })
+}
+
+// TestRestarts: 100 starts of one name within a minute: the newest one's entries hold in the end, and none of an older one's.
+func TestRestarts(t *testing.T) {
+	w := newNetwork(t, 8)
+	w.late, w.twice = 300*ms, true
+	for i := range 100 {
+		n := w.start("d")
+		n.Put(fmt.Sprintf("dead/%d", i), []byte("1"))
+		w.run(600 * ms)
+	}
+	w.late, w.twice = 0, false
+	w.until("all hold the newest", 20*time.Second, func() bool { return w.same() && w.holds("a", "d", "dead/99") })
+	w.up["a"].copies.All("dead/", func(e *Entry) bool {
+		if e.Owner == "d" && e.Key != "dead/99" {
+			t.Errorf("%s of an older start", e.Key)
+		}
+		return true
+	})
+}
+
+// TestDeletedAgainstLateCopy: what was taken back stays so against copies of before that come late, also after the owner has forgotten that it
+// ever had it.
+func TestDeletedAgainstLateCopy(t *testing.T) {
+	w := newNetwork(t, 4)
+	n := w.up["a"]
+	n.Put("dead/x", []byte("1"))
+	late, _ := n.copies.Get("a", "dead/x")
+	w.until("all have it", 5*time.Second, w.same)
+	n.Delete("dead/x")
+	for i := range 3 * MostKeys { // many more keys than are kept: the owner begins anew
+		key := fmt.Sprintf("dead/%d", i)
+		if !n.Put(key, []byte("1")) {
+			t.Fatalf("no room for %s", key)
+		}
+		n.Delete(key)
+	}
+	w.until("all are in step", 20*time.Second, w.same)
+	w.send("b", []Out{{"c", &Message{Kind: Gossip, Entries: []Entry{late}}}})
+	w.run(5 * time.Second)
+	for name := range w.up {
+		if w.holds(name, "a", "dead/x") {
+			t.Errorf("%s: a late copy came back", name)
+		}
+	}
+}
+
+// TestPaused: one stands still for ten seconds and goes on with what it knew: it is suspected and objects, and nothing that was taken back
+// meanwhile comes back by it.
+func TestPaused(t *testing.T) {
+	w := newNetwork(t, 10)
+	w.up["a"].Put("dead/x", []byte("1"))
+	w.until("all have it", 5*time.Second, w.same)
+	paused := w.up["e"]
+	delete(w.up, "e")
+	w.run(2 * time.Second)
+	w.up["a"].Delete("dead/x")
+	w.run(8 * time.Second)
+	w.up["e"] = paused
+	w.send("e", paused.Tick(w.now))
+	w.arm("e", paused)
+	w.until("it is alive again to all, and in step", 20*time.Second, func() bool {
+		for name, n := range w.up {
+			if name != "e" && n.Member("e").State != Alive || w.holds(name, "a", "dead/x") {
+				return false
+			}
+		}
+		return w.same()
+	})
+	for name := range w.up {
+		if w.holds(name, "a", "dead/x") {
+			t.Errorf("%s holds what was taken back", name)
+		}
+	}
+}
+
+// TestTwoOfOneName: both write anew above each other at a bounded rate, and the others hold one of them at a time.
+func TestTwoOfOneName(t *testing.T) {
+	w := newNetwork(t, 5)
+	twin := New(w.now, config("b", 5, 99))
+	twin.Put("dead/twin", []byte("1"))
+	w.up["b"].Put("dead/first", []byte("1"))
+	before := w.up["b"].Inc() >> incBits
+	began := w.now
+	for w.now < began+20*time.Second {
+		w.send("b", twin.Tick(w.now))
+		w.run(50 * ms)
+		for _, other := range []string{"a", "c"} { // what they hear of both reaches the twin too
+			for _, out := range w.up[other].Tick(w.now) {
+				if out.To == "b" {
+					w.send("b", twin.Take(w.now, other, out.Message))
+				}
+			}
+		}
+	}
+	if n := w.up["b"].Inc()>>incBits - before; n > 30 {
+		t.Errorf("%d incarnations within 20 s", n)
+	}
+	if w.holds("a", "b", "dead/twin") && w.holds("a", "b", "dead/first") {
+		t.Error("entries of two processes are held for one's")
+	}
+}
+
+// TestLeave: who ends in order is known to have left within a second, and what it wrote goes with it.
+func TestLeave(t *testing.T) {
+	w := newNetwork(t, 10)
+	w.up["f"].Put("dead/x", []byte("1"))
+	w.until("all have it", 5*time.Second, w.same)
+	out := w.up["f"].Leave(w.now)
+	delete(w.up, "f")
+	w.send("f", out)
+	w.until("all know", 2*time.Second, func() bool {
+		for name, n := range w.up {
+			if n.Member("f").State != Left || w.holds(name, "f", "dead/x") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestManyReturn: 20 of 40 return at one moment with nothing: each has all within seconds, and those that stand give no more than their
+// budget in any second.
+func TestManyReturn(t *testing.T) {
+	w := newNetwork(t, 40)
+	for name, n := range w.up {
+		for i := range 100 {
+			n.Put(fmt.Sprintf("dead/%s%d", name, i), make([]byte, 200))
+		}
+	}
+	w.until("all have it", 2*time.Minute, w.same)
+	names := names(40)
+	const budget = 1 << 16
+	for i, name := range names {
+		if i >= 20 {
+			w.start(name)
+		}
+		w.up[name].cfg.Budget, w.up[name].budget = budget, 0
+	}
+	before := map[string]int{}
+	for _, name := range names {
+		before[name] = w.up[name].Figures.Helped
+	}
+	from := w.now
+	took := w.until("all have caught up", 3*time.Minute, func() bool {
+		for _, name := range names {
+			if _, ok := w.up[name].Caught(w.now); !ok {
+				return false
+			}
+		}
+		return w.same()
+	})
+	turned := 0
+	for name, n := range w.up {
+		turned += n.Figures.Turned
+		if gave := float64(n.Figures.Helped - before[name]); gave > budget*((w.now-from).Seconds()+1)+answerBytes {
+			t.Errorf("%s gave %.0f bytes within %v", name, gave, w.now-from)
+		}
+	}
+	if turned == 0 {
+		t.Error("nobody was turned away: nothing was shown")
+	}
+	t.Logf("in %v; %d asks were turned away", took, turned)
+}
+
+// TestNoCouncil: without the council's word the decided state stays as it was, and what is observed goes on.
+func TestNoCouncil(t *testing.T) {
+	w := newNetwork(t, 6)
+	w.up["a"].Decide("order/x", 3, []byte("avoid"))
+	w.up["b"].Decide("order/x", 2, nil) // has heard less
+	w.until("all have the newest", 5*time.Second, func() bool { return w.same() && w.holds("f", Council, "order/x") })
+	w.up["c"].Put("dead/y", []byte("1"))
+	w.until("what is observed goes on", 5*time.Second, func() bool { return w.holds("f", "c", "dead/y") })
+	w.up["d"].Decide("order/x", 9, nil)
+	w.until("what is lifted is lifted everywhere", 5*time.Second, func() bool { return w.same() && !w.holds("a", Council, "order/x") })
+}
--- a/internal/replica/sync.go
+++ b/internal/replica/sync.go
@@ -234,6 +234,7 @@
 	}
 	for i := range answer.Entries {
 		n.budget -= float64(answer.Entries[i].size())
+		n.Figures.Helped += answer.Entries[i].size()
 	}
 	n.helping[from] = now
 }
