--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	_ "sorrelrudder/internal/fixedseed"
+	"sorrelrudder/internal/lease"
 )
 
 // carryOut does what change proposes until it proposes nothing more, and returns who votes and who listens then.
@@ -173,3 +174,63 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// heap is a disk that forgets.
+type heap struct{}
+
+func (heap) Save(Saved, bool) error { return nil }
+
+// TestRefusedChangeKeepsJudgement guards against two holders (tier-explore, seed 329766): the library puts an empty entry in the place of a
+// change of members that it refuses. It is not a leader's first one. A leader that began anew there forgot that it had judged a session to have
+// ended, with that still on its way through the log, and renewed it.
+func TestRefusedChangeKeepsJudgement(t *testing.T) {
+	snap, err := FoundingSnapshot(Founded("fleet", "a", "a0", []string{"a", "b", "c"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rules := lease.Rules{Term: time.Second, Drift: 0.01, Guard: 10 * time.Millisecond}
+	n, err := New(Config{ID: 1, Rules: rules, Saved: Saved{Snapshot: snap, Hard: FoundingState()}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Duration(0)
+	for !n.Leads() && now < time.Minute {
+		now += 10 * time.Millisecond
+		n.Tick(now)
+		if _, err := n.Work(now, heap{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.Ask(now, 1, Request{Lease: &lease.Ask{Command: &lease.Command{Op: lease.Open, Member: "a", Nonce: "1"}}})
+	out, err := n.Work(now, heap{})
+	if err != nil || len(out.Replies) != 1 || out.Replies[0].Response.Lease == nil {
+		t.Fatalf("%+v, %v", out, err)
+	}
+	session := out.Replies[0].Response.Lease.Result.Session
+	due := n.lessor.Due(now+2*time.Second, n.fleet.Leases) // judged; it is still to come out of the log
+	if len(due) != 1 || due[0].Session != session {
+		t.Fatalf("%+v", due)
+	}
+	one, two := uint64(7), uint64(8)
+	learner := raftpb.ConfChangeType_ConfChangeAddLearnerNode
+	for _, id := range []*uint64{&one, &two} { // the second is refused: the first is under way
+		if err := n.raw.ProposeConfChange(&raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: learner.Enum(), NodeId: id}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err = n.Work(now, heap{}); err != nil {
+		t.Fatal(err)
+	}
+	n.Ask(now, 2, Request{Lease: &lease.Ask{ID: 9, Member: "a", Session: session}})
+	if out, err = n.Work(now, heap{}); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(n.conf.GetLearners(), []uint64{one}) {
+		t.Fatalf("%v listen: no change was refused", n.conf.GetLearners())
+	}
+	for _, r := range out.Replies {
+		if r.Handle == 2 && r.Response.Lease.Why != lease.NoSession {
+			t.Errorf("a session that was judged to have ended is renewed: %+v", r.Response.Lease)
+		}
+	}
+}
--- a/internal/council/node.go
+++ b/internal/council/node.go
@@ -555,8 +555,9 @@
 		return n.reseat(e)
 	}
 	if len(e.GetData()) == 0 {
-		// The first entry of a leader: all that those before it left is applied now.
-		if n.role == raft.StateLeader && e.GetTerm() == n.term && n.fleet != nil {
+		// The first entry of a leader: all that those before it left is applied now. Later ones that are empty stand for changes of
+		// members that the library has refused: what this leader has judged since must not be forgotten.
+		if n.lessor == nil && n.role == raft.StateLeader && e.GetTerm() == n.term && n.fleet != nil {
 			n.lessor = lease.NewLessor(n.cfg.Rules, n.now, n.fleet.Leases)
 			n.changing = 0
 		}
