Processes of a fleet share what they see of servers, and carry out orders

The copies' core on the links of the tier: a pool tells of servers that it has left out after failures of its own, the fleet's processes hint at those that two others have found dead, and the module leaves them out until a probe of its own is answered, unless it had an answer within half a second.

--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -17,6 +18,7 @@
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/lease"
 	"sorrelrudder/internal/opfile"
+	"sorrelrudder/internal/replica"
 	"sorrelrudder/internal/task"
 	"sorrelrudder/internal/tier"
 )
@@ -36,6 +38,12 @@
 	Task struct {
 		Run tierTaskRun `cmd:"" help:"Have the next slot of a task done now, by whoever holds the task's lease."`
 	} `cmd:"" help:"Have a task done."`
+	State  tierState  `cmd:"" help:"What is shared among the members, as a process has it; --diff: what another has differently, and which rule will settle it."`
+	Forget tierForget `cmd:"" help:"Have the process at ADDRESS take back what it says under a key."`
+	Order  struct {
+		Avoid tierAvoid `cmd:"" help:"Have all processes send nothing new to a server, until the order is lifted."`
+		Lift  tierLift  `cmd:"" help:"Lift such an order."`
+	} `cmd:"" help:"Orders on servers, which the council decides and all members carry out."`
 	Member struct {
 		Add     tierAdd     `cmd:"" help:"Let a member have a seat in the council."`
 		Remove  tierRemove  `cmd:"" help:"Take a member's seat away."`
@@ -231,6 +239,184 @@
 	})
 }
 
+type tierState struct {
+	asking
+	Kind string `help:"Only of this kind: dead, order."`
+	Diff string `help:"The address of another process to compare with."`
+}
+
+func (c *tierState) Run(s *streams) error {
+	state := func(address string) (st *tier.Status, err error) {
+		a := c.asking
+		a.Address = address
+		err = a.ask(func(ctx context.Context, o *tier.Operator) error {
+			st, err = o.Status(ctx)
+			return err
+		})
+		if err == nil && st.Copies == nil {
+			err = fmt.Errorf("%s shares no state: [tier.copies] is missing in its file", st.Name)
+		}
+		return st, err
+	}
+	one, err := state(c.Address)
+	if err != nil {
+		return err
+	}
+	if c.Diff != "" {
+		other, err := state(c.Diff)
+		if err != nil {
+			return err
+		}
+		return c.diff(s, one, other)
+	}
+	k := one.Copies
+	k.Entries = slices.DeleteFunc(k.Entries, func(e tier.CopyEntry) bool { return c.Kind != "" && !strings.HasPrefix(e.Key, c.Kind+"/") })
+	if c.JSON {
+		return json.NewEncoder(s.out).Encode(k)
+	}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	ago := func(ms int64) string {
+		if ms < 0 {
+			return "not known yet"
+		}
+		return fmt.Sprintf("%d ms ago", ms)
+	}
+	fmt.Fprintf(w, "process\t%s, incarnation %d\nin step with another\t%s\nall decided is here as of\t%s\nown troubles\t%d of 8\n", one.Name, k.Incarnation, ago(k.InStepMs), ago(k.DecidedMs), k.Health)
+	count := map[string]int{}
+	for _, state := range k.Members {
+		count[state]++
+	}
+	for _, state := range slices.Sorted(maps.Keys(count)) {
+		fmt.Fprintf(w, "members %s\t%d\n", state, count[state])
+	}
+	for _, key := range k.Hints {
+		fmt.Fprintf(w, "hinted at\t%s\n", key)
+	}
+	for _, pool := range k.Kept {
+		fmt.Fprintf(w, "not carried out\torders of pool %s: no ready server would be left\n", pool)
+	}
+	fmt.Fprintln(w, "\nowner\tkey\tversion\tvalue")
+	for _, e := range k.Entries {
+		fmt.Fprintf(w, "%s\t%s\t%d.%d\t%s\n", e.Owner, e.Key, e.Inc, e.Seq, valueOf(e))
+	}
+	return w.Flush()
+}
+
+func valueOf(e tier.CopyEntry) string {
+	switch len(e.Values) {
+	case 0:
+		return "taken back"
+	case 1:
+		return cmp.Or(e.Values[0], "yes")
+	}
+	return fmt.Sprintf("%d contents of one version: %q", len(e.Values), e.Values)
+}
+
+// diff prints what two processes hold differently, and which rule settles it. Exit 1 if anything is.
+func (c *tierState) diff(s *streams, a, b *tier.Status) error {
+	type at struct{ owner, key string }
+	both := map[at][2]*tier.CopyEntry{}
+	for i, st := range []*tier.Status{a, b} {
+		for n := range st.Copies.Entries {
+			e := &st.Copies.Entries[n]
+			if c.Kind != "" && !strings.HasPrefix(e.Key, c.Kind+"/") {
+				continue
+			}
+			pair := both[at{e.Owner, e.Key}]
+			pair[i] = e
+			both[at{e.Owner, e.Key}] = pair
+		}
+	}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "owner\tkey\tat %s\tat %s\trule\n", a.Name, b.Name)
+	differ := 0
+	keys := slices.SortedFunc(maps.Keys(both), func(x, y at) int { return cmp.Or(cmp.Compare(x.owner, y.owner), cmp.Compare(x.key, y.key)) })
+	for _, key := range keys {
+		x, y := both[key][0], both[key][1]
+		text := func(e *tier.CopyEntry) string {
+			if e == nil {
+				return "nothing"
+			}
+			return fmt.Sprintf("%d.%d %s", e.Inc, e.Seq, valueOf(*e))
+		}
+		rule := ""
+		switch {
+		case x == nil || y == nil:
+			rule = "what one lacks it gets, or it was given up and the other is told"
+		case x.Inc != y.Inc:
+			rule = "the newer incarnation holds"
+		case x.Seq != y.Seq:
+			rule = "the larger number holds"
+		case !slices.Equal(x.Values, y.Values):
+			rule = "both contents are kept, and the careful one counts"
+		default:
+			continue
+		}
+		differ++
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", key.owner, key.key, text(x), text(y), rule)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if differ > 0 {
+		return fmt.Errorf("%d entries differ", differ)
+	}
+	_, err := fmt.Fprintln(s.out, "nothing differs")
+	return err
+}
+
+type tierForget struct {
+	Key string `arg:"" help:"The key, as 'tier state' shows it."`
+	asking
+}
+
+func (c *tierForget) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		if err := o.Forget(ctx, c.Key); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(s.out, "%s is taken back\n", c.Key)
+		return err
+	})
+}
+
+type tierOrder struct {
+	Pool   string `arg:"" help:"The pool."`
+	Server string `arg:"" help:"The server, as the pool's list names it."`
+	asking
+}
+
+type tierAvoid struct {
+	tierOrder
+	Reason string `default:"ordered" help:"Why, for whoever looks at it later."`
+}
+
+type tierLift struct{ tierOrder }
+
+func (c *tierAvoid) Run(s *streams) error { return c.order(s, c.Reason, false) }
+func (c *tierLift) Run(s *streams) error  { return c.order(s, "", true) }
+
+func (c *tierOrder) order(s *streams, value string, lift bool) error {
+	key := replica.ServerKey(council.OrderKind, c.Pool, c.Server)
+	if key == "" {
+		return fmt.Errorf("%w: no order can be given on the server %q of %q", errDay, c.Server, c.Pool)
+	}
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		r, err := o.Ask(ctx, council.Request{Order: &council.OrderCommand{Key: key, Value: value, Lift: lift}})
+		if err != nil {
+			return err
+		}
+		if r.Order == nil {
+			return tier.ErrNoCouncil
+		}
+		if r.Order.Why != "" {
+			return errors.New(r.Order.Why)
+		}
+		_, err = fmt.Fprintf(s.out, "order %d; 'tier state' shows who has it\n", r.Order.Number)
+		return err
+	})
+}
+
 type tierFoundCmd struct{ asking }
 
 func (c *tierFoundCmd) Run(s *streams) error {
--- a/internal/council/fleet.go
+++ b/internal/council/fleet.go
@@ -37,9 +37,11 @@
 	Names []string         `json:"names"` // who may have a seat
 	// Volatile: what is promised is kept in memory. Who comes back with another store takes the place of the former at once, which has
 	// ended with its process.
-	Volatile bool           `json:"volatile,omitempty"`
-	Leases   *lease.Machine `json:"leases"`
-	Slots    *task.Book     `json:"slots"`
+	Volatile bool              `json:"volatile,omitempty"`
+	Leases   *lease.Machine    `json:"leases"`
+	Ordered  uint64            `json:"ordered,omitempty"` // the number of the newest order
+	Orders   map[string]*Order `json:"orders,omitempty"`
+	Slots    *task.Book        `json:"slots"`
 }
 
 // SeatOp is what is done about seats.
@@ -78,6 +80,7 @@
 	Lease *lease.Command `json:"lease,omitempty"`
 	Seat  *SeatCommand   `json:"seat,omitempty"`
 	Slot  *task.Command  `json:"slot,omitempty"`
+	Order *OrderCommand  `json:"order,omitempty"`
 }
 
 // Founded is the state of a fleet whose only seat is taken, with the identity 1; others are admitted.
@@ -124,6 +127,11 @@
 			return nil, fmt.Errorf("council: snapshot: seat %q is not whole", name)
 		}
 	}
+	for key, o := range f.Orders {
+		if o == nil || o.Number == 0 || o.Number > f.Ordered {
+			return nil, fmt.Errorf("council: snapshot: order %q is not whole", key)
+		}
+	}
 	var err error
 	if f.Leases, err = lease.Restore(parts.Leases); err != nil {
 		return nil, err
--- a/internal/council/node.go
+++ b/internal/council/node.go
@@ -52,6 +52,7 @@
 	Lease *lease.Ask    `json:"lease,omitempty"`
 	Seat  *SeatCommand  `json:"seat,omitempty"`
 	Slot  *task.Command `json:"slot,omitempty"`
+	Order *OrderCommand `json:"order,omitempty"`
 	Pages []string      `json:"pages,omitempty"` // tasks whose pages are wanted, as they are now
 	State bool          `json:"state,omitempty"` // what this node knows, without asking the others
 }
@@ -64,6 +65,8 @@
 	Lease     *lease.Answer        `json:"lease,omitempty"`
 	Seat      *SeatResult          `json:"seat,omitempty"`
 	Slot      *task.Result         `json:"slot,omitempty"`
+	Order     *OrderResult         `json:"order,omitempty"`
+	Decided   *Decided             `json:"decided,omitempty"` // with each renewal
 	Pages     map[string]task.Page `json:"pages,omitempty"`
 	State     *State               `json:"state,omitempty"`
 }
@@ -336,6 +339,8 @@
 		n.propose(w, record{Seat: q.Seat})
 	case q.Slot != nil:
 		n.propose(w, record{Slot: q.Slot})
+	case q.Order != nil:
+		n.propose(w, record{Order: q.Order})
 	default:
 		n.elsewhere(w)
 	}
@@ -588,6 +593,12 @@
 	case r.Slot != nil:
 		result := n.fleet.Slots.Apply(*r.Slot)
 		answer.Slot = &result
+	case r.Order != nil:
+		result := n.fleet.order(*r.Order)
+		answer.Order = &result
+		if result.Why == "" {
+			n.event("an order", "key", r.Order.Key, "value", r.Order.Value, "lifted", r.Order.Lift, "number", result.Number)
+		}
 	}
 	changed := n.fleet.Leases.Changed()
 	if n.lessor == nil {
@@ -654,6 +665,7 @@
 		return
 	}
 	n.reading = nil
+	decided := n.fleet.decided()
 	for _, w := range r.batch {
 		if w.ask.Pages != nil {
 			pages := map[string]task.Page{}
@@ -671,7 +683,7 @@
 		if a.Why = why; why == "" && listing.Version != w.ask.Lease.Have {
 			a.Listing = &listing
 		}
-		n.reply(w, Response{Lease: &a})
+		n.reply(w, Response{Lease: &a, Decided: decided})
 	}
 }
 
--- /dev/null
+++ b/internal/council/orders.go
@@ -0,0 +1,94 @@
+package council
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"sorrelrudder/internal/replica"
+)
+
+// OrderKind begins the keys of what operators order: "order/POOL/SERVER".
+const OrderKind = "order"
+
+// MostOrders bounds the orders, those included that were lifted: their numbers are kept, so that no late copy brings them back.
+const MostOrders = 1024
+
+// Order is something that operators have decided for the whole fleet.
+type Order struct {
+	Number uint64 `json:"number"` // of the decision: grows with each
+	Value  string `json:"value,omitempty"`
+	Lifted bool   `json:"lifted,omitempty"`
+}
+
+// OrderCommand gives an order or lifts it.
+type OrderCommand struct {
+	Key   string `json:"key"`
+	Value string `json:"value,omitempty"`
+	Lift  bool   `json:"lift,omitempty"`
+}
+
+// OrderResult is what became of it.
+type OrderResult struct {
+	Why    string `json:"why,omitempty"`
+	Number uint64 `json:"number,omitempty"`
+}
+
+// Decided tells how far the council has come with its decisions, and the sum of all: who has the same sum has all of them.
+type Decided struct {
+	Number uint64 `json:"number"`
+	Sum    uint64 `json:"sum"`
+}
+
+func (f *Fleet) order(c OrderCommand) OrderResult {
+	switch {
+	case !strings.HasPrefix(c.Key, OrderKind+"/") || len(c.Key) > replica.MostKeyLen || len(c.Value) > replica.MostValue:
+		return OrderResult{Why: "malformed"}
+	case c.Lift && (f.Orders[c.Key] == nil || f.Orders[c.Key].Lifted):
+		return OrderResult{Why: fmt.Sprintf("%q is not ordered", c.Key)}
+	case f.Orders[c.Key] == nil && len(f.Orders) >= MostOrders:
+		return OrderResult{Why: fmt.Sprintf("%d orders were given, and more are not kept", MostOrders)}
+	}
+	if f.Orders == nil {
+		f.Orders = map[string]*Order{}
+	}
+	f.Ordered++
+	f.Orders[c.Key] = &Order{Number: f.Ordered, Value: c.Value, Lifted: c.Lift}
+	return OrderResult{Number: f.Ordered}
+}
+
+// OrdersSince calls each with the orders that are newer than a number, in the order of their numbers, and returns the newest number.
+func (f *Fleet) OrdersSince(number uint64, each func(key string, o Order)) uint64 {
+	var fresh []string
+	for key, o := range f.Orders {
+		if o.Number > number {
+			fresh = append(fresh, key)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b string) int { return int(int64(f.Orders[a].Number - f.Orders[b].Number)) })
+	for _, key := range fresh {
+		each(key, *f.Orders[key])
+	}
+	return f.Ordered
+}
+
+// decided is how far this node has come, as it is told with each renewal.
+func (f *Fleet) decided() *Decided {
+	d := &Decided{Number: f.Ordered}
+	for _, key := range slices.Sorted(maps.Keys(f.Orders)) {
+		o := f.Orders[key]
+		d.Sum += replica.DecidedEntry(key, o.Number, o.bytes()).Sum()
+	}
+	return d
+}
+
+func (o *Order) bytes() []byte {
+	if o.Lifted {
+		return nil
+	}
+	return []byte(o.Value)
+}
+
+// Bytes is the order's value as copies have it, nil if it was lifted.
+func (o Order) Bytes() []byte { return o.bytes() }
--- a/internal/emulator/hearsay.go
+++ b/internal/emulator/hearsay.go
@@ -9,6 +9,9 @@
 // sayAgain is how long one does not tell others of a server again.
 const sayAgain = time.Second
 
+// sayTimes is how often within that time the others hear it.
+const sayTimes = 5
+
 // tells has the others hear of a server that the module has just left out, after the lag. What comes of it is the module's: see
 // policy.Balancer.Hint.
 func (in *instance) tells(now policy.Time, s *server, st policy.Status) {
@@ -25,10 +28,14 @@
 		if !w.enough(id, in) {
 			return
 		}
-		for _, other := range w.instances {
-			if other != in {
-				other.do(func(now policy.Time) { other.b.Hint(now, id) })
-			}
+		for again := range sayTimes { // own answers of late count for more than hearsay, until there are none
+			w.after(time.Duration(again)*sayAgain/sayTimes, func() {
+				for _, other := range w.instances {
+					if other != in {
+						other.do(func(now policy.Time) { other.b.Hint(now, id) })
+					}
+				}
+			})
 		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,8 @@
 	listeners map[Listener]*listening
 	lastKey   share.Key
 	stopped   bool
+	avoided   map[string]map[string]bool // servers that take nothing new, by order, by pool
+	leftOut   atomic.Pointer[func(pool, server string, out bool)]
 
 	// What the pools share. No method of a pool is called under shares: pools call back.
 	shares    sync.Mutex
@@ -318,6 +320,11 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
+	cfg.LeftOut = func(server string, out bool) {
+		if f := g.leftOut.Load(); f != nil {
+			(*f)(p.Name, server, out)
+		}
+	}
 	if p.Discovery != "" {
 		cfg.Source = source.Discovery(p.Discovery)
 	} else {
@@ -333,6 +340,9 @@
 		g.drop(m)
 		return nil, err
 	}
+	if servers := g.avoided[p.Name]; len(servers) > 0 {
+		m.pool.Avoid(servers)
+	}
 	return m, nil
 }
 
--- /dev/null
+++ b/internal/gateway/hearsay.go
@@ -0,0 +1,27 @@
+package gateway
+
+// OnLeftOut has f told of each server that a pool leaves out after failures that it has seen itself, and of one that it takes again. It is
+// called under the pool's lock, and must call neither pool nor gateway. Only the product asks.
+func (g *Gateway) OnLeftOut(f func(pool, server string, out bool)) { g.leftOut.Store(&f) }
+
+// Hint has a pool's module hear that a server does not answer others.
+func (g *Gateway) Hint(pool, server string) {
+	if m := g.table.Load().pools[pool]; m != nil {
+		m.pool.Hint(server)
+	}
+}
+
+// Avoid has a pool send nothing new to the servers named, by order, until another call names others; also an instance of the pool that
+// takes the place of this one. It returns false where no ready server would be left: then it is not done.
+func (g *Gateway) Avoid(pool string, servers map[string]bool) bool {
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	if g.avoided == nil {
+		g.avoided = map[string]map[string]bool{}
+	}
+	g.avoided[pool] = servers
+	if m := g.table.Load().pools[pool]; m != nil {
+		return m.pool.Avoid(servers)
+	}
+	return true
+}
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -60,6 +60,22 @@
 		}
 		c.Memory = true
 	}
+	if t.has("copies") {
+		k := t.table("copies")
+		c.Copies = &tier.CopiesConfig{
+			Gossip: k.duration("gossip", 100*time.Millisecond, 10*time.Millisecond, 10*time.Second), Fanout: int(k.whole("fanout", 3, 1, 16)),
+			Probe: k.duration("probe", 500*time.Millisecond, 50*time.Millisecond, time.Minute), Sync: k.duration("sync", 2*time.Second, 100*time.Millisecond, time.Hour),
+			Keep: k.duration("keep", 30*time.Second, time.Second, 24*time.Hour), Witnesses: int(k.whole("witnesses", 2, 1, 100)),
+			Budget: float64(k.whole("catch_up_bytes", 1<<20, 4<<10, 1<<30)), Store: k.str("store", ""),
+		}
+		k.done()
+		if c.Copies.Probe < 2*c.Copies.Gossip {
+			r.bad(k.at("probe"), "is %v, below two rounds of gossip of %v: answers would come too late", c.Copies.Probe, c.Copies.Gossip)
+		}
+		if c.Copies.Store != "" && c.Copies.Store == c.Store {
+			r.bad(k.at("store"), "is that of the council: what is shared needs a file of its own")
+		}
+	}
 	most := int(t.whole("tasks_at_once", 0, 0, task.MostTasks))
 	t.done()
 	if c.Name != "" && c.Members[c.Name] == "" {
--- a/internal/opfile/tier_test.go
+++ b/internal/opfile/tier_test.go
@@ -80,6 +80,10 @@
 		"memory, unsaid":     {`store = "a.db"`, `council_in_memory = "yes"`, "f.toml:15: tier.council_in_memory: is to be \"all promises are forgotten"},
 		"memory and store":   {"[tier]", "[tier]\ncouncil_in_memory = \"" + memoryWord + "\"", "tier.store: can't be together with council_in_memory"},
 		"host, not plain":    {`every = "1m"`, "every = \"1m\"\nhost = \"a.example\"", "tasks[1].host: means something to pools of plain HTTP only"},
+		"unknown copies key": {"[[tasks]]", "[tier.copies]\ngosip = \"1s\"\n[[tasks]]", "tier.copies.gosip: unknown key"},
+		"hasty probe":        {"[[tasks]]", "[tier.copies]\nprobe = \"100ms\"\n[[tasks]]", "tier.copies.probe: is 100ms, below two rounds"},
+		"no witness":         {"[[tasks]]", "[tier.copies]\nwitnesses = 0\n[[tasks]]", "tier.copies.witnesses: is 0, outside 1 to 100"},
+		"one file for two":   {"[[tasks]]", "[tier.copies]\nstore = \"a.db\"\n[[tasks]]", "tier.copies.store: is that of the council"},
 		"tasks alone":        {tierFile[strings.Index(tierFile, "[tier]"):strings.Index(tierFile, "[[tasks]]")], "", "tasks: are done once for a fleet"},
 	} {
 		text := strings.Replace(tierFile, c.from, c.to, 1)
--- /dev/null
+++ b/internal/pool/hearsay.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"sorrelrudder/internal/source"
+	"sorrelrudder/policy"
+)
+
+// notice tells of a server that the module has left out after failures that this pool has seen itself, and of one that it takes again.
+func (p *Pool) notice(now policy.Time, id policy.ServerID, status policy.Status) {
+	if p.leftOut == nil {
+		return
+	}
+	switch status {
+	case policy.ConnectFailed, policy.Timeout, policy.Reset:
+		if p.balancer.LeftOut(now, id) { // told again while it lasts: what is not found out anew is forgotten
+			p.said[id] = true
+			p.leftOut(string(id), true)
+		}
+	case policy.OK:
+		if p.said[id] && !p.balancer.LeftOut(now, id) {
+			p.unsay(id)
+		}
+	}
+}
+
+// unsay takes back what was told of a server, which answers again, has restarted or is gone.
+func (p *Pool) unsay(id policy.ServerID) {
+	if p.said[id] {
+		delete(p.said, id)
+		p.leftOut(string(id), false)
+	}
+}
+
+// Hint has the module hear that a server does not answer others. It only ever makes it careful: see policy.Balancer.Hint.
+func (p *Pool) Hint(server string) {
+	p.event(func(now policy.Time) { p.balancer.Hint(now, policy.ServerID(server)) })
+}
+
+// Avoid has the servers named take nothing new, though the list names them ready, as if it said that they drain, until another call leaves
+// them out. It does so with none of them, and returns false, where no ready server would be left.
+func (p *Pool) Avoid(servers map[string]bool) (done bool) {
+	p.event(func(now policy.Time) {
+		left := 0
+		for id, e := range p.entries {
+			if source.States[e.Health] == policy.Ready && !servers[string(id)] {
+				left++
+			}
+		}
+		if done = left > 0 || len(p.entries) == 0; !done {
+			servers = nil
+		}
+		before := p.avoided
+		p.avoided = servers
+		var changed []policy.Server
+		for id, e := range p.entries {
+			if before[string(id)] != servers[string(id)] {
+				changed = append(changed, p.listed(e))
+			}
+		}
+		if len(changed) > 0 {
+			p.balancer.Members(now, policy.ListDelta, changed, p)
+		}
+	})
+	return done
+}
+
+// listed is what the module is told of an entry of the list.
+func (p *Pool) listed(e source.Entry) policy.Server {
+	s := policy.Server{
+		ID: policy.ServerID(e.Host), State: source.States[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Kind: e.Class, Started: p.started(e.BornMs),
+	}
+	if s.State == policy.Ready && p.avoided[e.Host] {
+		s.State = policy.Draining
+	}
+	return s
+}
--- a/internal/replica/copies.go
+++ b/internal/replica/copies.go
@@ -28,7 +28,7 @@
 	sums    map[string]*sums
 	plant   Plant
 
-	changed []place // that have another entry than before, or none any more, since Changed was last called
+	changed []Place // that have another entry than before, or none any more, since Changed was last called
 	Counts  Counts
 }
 
@@ -71,7 +71,7 @@
 }
 
 // Changed returns what has changed since it was last called.
-func (c *Copies) Changed() []place {
+func (c *Copies) Changed() []Place {
 	all := c.changed
 	c.changed = nil
 	return all
@@ -126,7 +126,7 @@
 	e := o.entries[key]
 	c.sums[KindOf(key)].remove(name, key, e.sum())
 	delete(o.entries, key)
-	c.changed = append(c.changed, place{name, key})
+	c.changed = append(c.changed, Place{name, key})
 }
 
 // Merge takes an entry, and reports whether it was new.
@@ -166,7 +166,7 @@
 		c.sums[kind].remove(e.Owner, e.Key, was.sum())
 		e = next
 	}
-	c.changed = append(c.changed, place{e.Owner, e.Key})
+	c.changed = append(c.changed, Place{e.Owner, e.Key})
 	if c.plant == Forget && e.Gone() {
 		delete(o.entries, e.Key)
 		return true
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -196,6 +196,21 @@
 	}
 }
 
+// Restore takes over what an earlier start of this process has kept: entries of others, and its own incarnation, above which it goes on.
+func (n *Node) Restore(now time.Duration, m *Message) {
+	for _, o := range m.Owners {
+		if o.Name == n.cfg.Name && o.Inc >= n.inc {
+			n.begin(now, o.Inc>>incBits+1)
+		}
+	}
+	for _, e := range m.Entries {
+		if e.Owner != n.cfg.Name {
+			n.copies.Merge(e)
+		}
+	}
+	n.copies.Changed() // old: it is no news
+}
+
 // Put writes a value under a key of a kind that members write. It reports whether there is room.
 func (n *Node) Put(key string, value []byte) bool {
 	if len(value) > MostValue || len(key) > MostKeyLen || n.left {
@@ -243,14 +258,18 @@
 
 // Decide takes what the council has decided, from the log or from another's word: number grows with each decision. value nil: taken back.
 func (n *Node) Decide(key string, number uint64, value []byte) {
+	if n.copies.Merge(DecidedEntry(key, number, value)) {
+		n.rumour(rumourKey{owner: Council, key: key})
+	}
+}
+
+// DecidedEntry is the copy of a decision.
+func DecidedEntry(key string, number uint64, value []byte) Entry {
 	content := []byte{absent}
 	if value != nil {
 		content = append([]byte{present}, value...)
 	}
-	e := Entry{Owner: Council, Key: key, Version: Version{1, number}, Contents: [][]byte{content}}
-	if n.copies.Merge(e) {
-		n.rumour(rumourKey{owner: Council, key: key})
-	}
+	return Entry{Owner: Council, Key: key, Version: Version{1, number}, Contents: [][]byte{content}}
 }
 
 // Leave tells that the process ends: what it wrote is taken back with it.
@@ -336,6 +355,9 @@
 
 // Next is when Tick has something to do at the latest.
 func (n *Node) Next() time.Duration {
+	if n.left {
+		return math.MaxInt64
+	}
 	at := min(n.nextProbe, n.nextGossip, n.nextSync)
 	if n.syncTo != "" && n.behind {
 		at = min(at, n.syncEnd)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -103,6 +103,9 @@
 	return a
 }
 
+// Sum is what an entry adds to the sum of its kind.
+func (e Entry) Sum() uint64 { return e.sum() }
+
 // sum is what an entry adds to the sums of its ranges.
 func (e *Entry) sum() uint64 {
 	h := fnv.New64a()
@@ -150,17 +153,24 @@
 	top    uint64
 	middle [fan]uint64
 	leaf   [leaves]uint64
-	in     [leaves][]place // who is there
+	in     [leaves][]Place // who is there
 }
 
-type place struct{ owner, key string }
+// Place names an entry.
+type Place struct{ owner, key string }
+
+// Owner is whose the entry is.
+func (p Place) Owner() string { return p.owner }
+
+// Key is that of the entry.
+func (p Place) Key() string { return p.key }
 
 func (s *sums) add(owner, key string, x uint64) {
 	at := leafOf(owner, key)
 	s.top += x
 	s.middle[at/fan] += x
 	s.leaf[at] += x
-	s.in[at] = append(s.in[at], place{owner, key})
+	s.in[at] = append(s.in[at], Place{owner, key})
 }
 
 func (s *sums) remove(owner, key string, x uint64) {
@@ -168,7 +178,7 @@
 	s.top -= x
 	s.middle[at/fan] -= x
 	s.leaf[at] -= x
-	if i := slices.Index(s.in[at], place{owner, key}); i >= 0 {
+	if i := slices.Index(s.in[at], Place{owner, key}); i >= 0 {
 		last := len(s.in[at]) - 1
 		s.in[at][i] = s.in[at][last]
 		s.in[at] = s.in[at][:last]
@@ -176,8 +186,8 @@
 }
 
 // places are those of a leaf, in order.
-func (s *sums) places(leaf int) []place {
-	return slices.SortedFunc(slices.Values(s.in[leaf]), func(a, b place) int {
+func (s *sums) places(leaf int) []Place {
+	return slices.SortedFunc(slices.Values(s.in[leaf]), func(a, b Place) int {
 		return cmp.Or(strings.Compare(a.owner, b.owner), strings.Compare(a.key, b.key))
 	})
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -69,11 +69,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		heard := rapid.SliceOfN(rapid.Custom(drawTold), 1, 25).Draw(t, "heard")
 		one := NewCopies(kinds, decided, anyone, NoPlant)
-		newest := map[place]Version{}
+		newest := map[Place]Version{}
 		for _, x := range heard {
 			one.hear(x)
 			for _, e := range one.all() {
-				at := place{e.Owner, e.Key}
+				at := Place{e.Owner, e.Key}
 				if e.Compare(newest[at]) < 0 {
 					t.Fatalf("%v went back from %v to %v", at, newest[at], e.Version)
 				}
--- a/internal/replica/sync.go
+++ b/internal/replica/sync.go
@@ -30,7 +30,7 @@
 }
 
 // have is the version and the sum of what is here.
-func (n *Node) have(kind string, p place) (v Version, sum uint64, ok bool) {
+func (n *Node) have(kind string, p Place) (v Version, sum uint64, ok bool) {
 	if kind == membersKind {
 		s := n.Member(p.owner)
 		return s.version(), s.sum(), s.State <= Left
@@ -159,11 +159,11 @@
 		n.copies.Counts.Illegal++
 		return
 	}
-	theirs := map[place]Head{}
+	theirs := map[Place]Head{}
 	want := Leaf{Kind: l.Kind, Index: l.Index}
 	total := uint64(0)
 	for _, h := range l.Heads {
-		p := place{h.Owner, h.Key}
+		p := Place{h.Owner, h.Key}
 		theirs[p] = h
 		total += h.Sum
 		v, sum, ok := n.have(l.Kind, p)
@@ -205,7 +205,7 @@
 }
 
 // give adds what is here to an answer, as long as there is room.
-func (n *Node) give(kind string, p place, answer *Message, room *int) {
+func (n *Node) give(kind string, p Place, answer *Message, room *int) {
 	if *room <= 0 {
 		return
 	}
--- /dev/null
+++ b/internal/tier/copies.go
@@ -0,0 +1,401 @@
+package tier
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/replica"
+)
+
+// CopiesConfig is what a process is told of the state that the fleet's processes share.
+type CopiesConfig struct {
+	Gossip, Probe, Sync, Keep time.Duration
+	Fanout, Witnesses         int
+	Budget                    float64 // bytes a second to those that catch up
+	Store                     string  // file for what it knows, read at the next start; empty: none
+}
+
+// Pools is what shared state is about: the process' own pools.
+type Pools interface {
+	OnLeftOut(f func(pool, server string, out bool))
+	Hint(pool, server string)
+	Avoid(pool string, servers map[string]bool) (done bool)
+}
+
+const (
+	sightsLen = 1024 // what pools have seen, until it is looked at; more is dropped, and seen again
+	hintEvery = 200 * time.Millisecond
+	saveEvery = 10 * time.Second
+)
+
+// sight is something that a pool has seen of a server.
+type sight struct {
+	pool, server string
+	out          bool
+}
+
+// copies is a process' part in the shared state. All of it is under the tier's mu, but for sights.
+type copies struct {
+	cfg      CopiesConfig
+	node     *replica.Node
+	evidence *replica.Evidence
+	pools    Pools
+	sights   chan sight
+	orders   uint64 // the number of the newest order that was taken from the council's log here
+	hintAt   time.Duration
+	saveAt   time.Duration
+	ordered  bool          // the orders in force have changed
+	foreign  bool          // a peer of another format was told of
+	whole    time.Duration // the newest moment up to which all that was decided is known to be here; below 0: none
+	avoiding map[string]map[string]bool
+	kept     map[string]bool // pools whose orders can't be carried out: no ready server would be left
+	loaded   int
+	hinted   int
+}
+
+// share begins to take part in the shared state. The caller has mu.
+func (t *Tier) share(s Sender) error {
+	c := t.cfg.Copies
+	if c == nil {
+		return nil
+	}
+	cfg := replica.Usual()
+	cfg.Name, cfg.Members = t.cfg.Name, slices.Sorted(maps.Keys(t.cfg.Members))
+	cfg.Kinds, cfg.Decided = []string{replica.DeadKind}, []string{council.OrderKind}
+	cfg.Gossip, cfg.Probe, cfg.Sync, cfg.Keep, cfg.Fanout, cfg.Budget = c.Gossip, c.Probe, c.Sync, c.Keep, c.Fanout, c.Budget
+	h := fnv.New64a()
+	h.Write([]byte(t.keeper.Start()))
+	cfg.Seed = h.Sum64()
+	now := t.clock.Now()
+	k := &copies{
+		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), whole: -1,
+		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, saveAt: now + saveEvery,
+	}
+	if err := k.load(now, t.cfg.Name); err != nil {
+		return err
+	}
+	k.pools, _ = s.(Pools)
+	if k.pools != nil {
+		k.pools.OnLeftOut(func(pool, server string, out bool) { // under a pool's lock: it must not wait
+			select {
+			case k.sights <- sight{pool, server, out}:
+			default:
+			}
+		})
+	}
+	t.copies = k
+	return nil
+}
+
+// gossip does what is due for the shared state, and returns when it is to be called again at the latest. The caller has mu.
+func (t *Tier) gossip(now time.Duration) time.Duration {
+	k := t.copies
+	for n := len(k.sights); n > 0; n-- {
+		s := <-k.sights
+		if key := replica.ServerKey(replica.DeadKind, s.pool, s.server); key != "" {
+			k.evidence.Saw(now, k.node, key, s.out)
+		}
+	}
+	t.say(k.node.Tick(now))
+	t.heed(now)
+	if k.cfg.Store != "" && now >= k.saveAt {
+		k.saveAt = now + saveEvery
+		data := k.snapshot(t.cfg.Name)
+		t.done.Go(func() {
+			if err := writeWhole(k.cfg.Store, data); err != nil {
+				t.log.Warn("what is shared could not be kept", "err", err)
+			}
+		})
+	}
+	if k.pools == nil {
+		return k.node.Next()
+	}
+	return min(k.node.Next(), k.hintAt)
+}
+
+// heed looks at what has changed in the copies. The caller has mu.
+func (t *Tier) heed(now time.Duration) {
+	k := t.copies
+	for _, e := range k.node.Events() {
+		t.log.Info("a member", "name", e.Name, "was", e.From.String(), "is", e.To.String())
+	}
+	changed := k.node.Copies().Changed()
+	for _, p := range changed {
+		k.ordered = k.ordered || replica.KindOf(p.Key()) == council.OrderKind
+	}
+	k.evidence.Look(now, k.node, changed)
+	if k.pools == nil || now < k.hintAt {
+		return
+	}
+	k.hintAt = now + hintEvery
+	hints := k.evidence.Hints(k.node)
+	k.hinted += len(hints)
+	var orders map[string]map[string]bool
+	if k.ordered {
+		k.ordered = false
+		orders = k.ordersByPool()
+	}
+	if len(hints) == 0 && orders == nil {
+		return
+	}
+	t.done.Go(func() { // a pool is asked without any lock of the tier
+		for _, key := range hints {
+			if pool, server, ok := replica.ServerOf(key); ok {
+				k.pools.Hint(pool, server)
+			}
+		}
+		t.carryOut(orders)
+	})
+}
+
+// ordersByPool are the servers that are to be avoided, by pool; a pool that had orders and has none is there with none.
+func (k *copies) ordersByPool() map[string]map[string]bool {
+	next := map[string]map[string]bool{}
+	k.node.Copies().All(council.OrderKind+"/", func(e *replica.Entry) bool {
+		if pool, server, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
+			if next[pool] == nil {
+				next[pool] = map[string]bool{}
+			}
+			next[pool][server] = true
+		}
+		return true
+	})
+	out := maps.Clone(next)
+	for pool := range k.avoiding {
+		if out[pool] == nil {
+			out[pool] = map[string]bool{}
+		}
+	}
+	k.avoiding = next
+	return out
+}
+
+// carryOut has the pools avoid what is ordered.
+func (t *Tier) carryOut(orders map[string]map[string]bool) {
+	k := t.copies
+	for _, pool := range slices.Sorted(maps.Keys(orders)) {
+		done := k.pools.Avoid(pool, orders[pool])
+		names := slices.Sorted(maps.Keys(orders[pool]))
+		if done {
+			t.log.Info("orders are carried out", "pool", pool, "avoided", names)
+		} else {
+			t.log.Warn("orders are not carried out: no ready server would be left", "pool", pool, "avoided", names)
+		}
+		t.mu.Lock()
+		k.kept[pool] = !done
+		t.mu.Unlock()
+	}
+}
+
+// say sends messages to others. The caller has mu.
+func (t *Tier) say(out []replica.Out) {
+	var last *replica.Message
+	var data []byte
+	for _, o := range out {
+		if o.Message != last { // one message often goes to several
+			last, data = o.Message, o.Message.Encode()
+		}
+		if l := t.linkTo(o.To); l != nil {
+			l.send(kindGossip, data)
+		}
+	}
+}
+
+// hearCopies takes a message about shared state.
+func (t *Tier) hearCopies(from string, payload []byte) {
+	m, err := replica.Decode(payload)
+	t.mu.Lock()
+	k := t.copies
+	if k == nil {
+		t.mu.Unlock()
+		return
+	}
+	if err != nil {
+		told := k.foreign && errors.Is(err, replica.ErrFormat)
+		k.foreign = k.foreign || errors.Is(err, replica.ErrFormat)
+		t.mu.Unlock()
+		if !told {
+			t.complain(from, err)
+		}
+		return
+	}
+	now := t.clock.Now()
+	t.say(k.node.Take(now, from, m))
+	t.heed(now)
+	t.keep()
+	t.mu.Unlock()
+}
+
+// decidedAt takes the council's word, asked for at that moment, of how far it has come: who has the same sum has all that was decided before.
+func (t *Tier) decidedAt(at time.Duration, d *council.Decided) {
+	if k := t.copies; k != nil && d != nil && k.node.Copies().Sum(council.OrderKind) == d.Sum {
+		k.whole = max(k.whole, at)
+	}
+}
+
+// takeOrders takes over what the log here has decided. The caller has mu.
+func (t *Tier) takeOrders(f *council.Fleet) {
+	if k := t.copies; k != nil && f != nil && f.Ordered > k.orders {
+		k.orders = f.OrdersSince(k.orders, func(key string, o council.Order) { k.node.Decide(key, o.Number, o.Bytes()) })
+	}
+}
+
+// CopiesStatus is what a process tells operators of the shared state.
+type CopiesStatus struct {
+	Incarnation uint64            `json:"incarnation"`
+	Members     map[string]string `json:"members"`    // by name: alive, suspect, dead, left, unheard of
+	Health      int               `json:"health"`     // 0: its own; more: how much it lengthens its times for troubles of its own
+	InStepMs    int64             `json:"in_step_ms"` // ago its copies were seen to equal another's; below 0: not since the start
+	DecidedMs   int64             `json:"decided_ms"` // ago: all that was decided until then is here; below 0: that is not known
+	Entries     []CopyEntry       `json:"entries"`
+	Hints       []string          `json:"hints,omitempty"`           // servers that are hinted at now
+	Kept        []string          `json:"not_carried_out,omitempty"` // pools whose orders would leave no server
+	Hinted      int               `json:"hinted"`                    // hints given so far
+	Sums        map[string]uint64 `json:"sums"`
+	Figures     replica.Figures   `json:"figures"`
+	Refused     replica.Counts    `json:"refused"`
+}
+
+// CopyEntry is one entry, as it is told.
+type CopyEntry struct {
+	Owner  string   `json:"owner"`
+	Key    string   `json:"key"`
+	Inc    uint64   `json:"inc"`
+	Seq    uint64   `json:"seq"`
+	Values []string `json:"values,omitempty"` // none: taken back; several: contents of one version that differ
+}
+
+// copiesStatus tells of the shared state, nil without any. The caller has mu.
+func (t *Tier) copiesStatus(now time.Duration) *CopiesStatus {
+	k := t.copies
+	if k == nil {
+		return nil
+	}
+	s := &CopiesStatus{
+		Incarnation: k.node.Inc(), Members: map[string]string{}, Health: k.node.Health(), InStepMs: -1, DecidedMs: -1, Hints: k.evidence.Hints(k.node),
+		Hinted: k.hinted, Sums: map[string]uint64{}, Figures: k.node.Figures, Refused: k.node.Copies().Counts,
+	}
+	if ago, ok := k.node.Caught(now); ok {
+		s.InStepMs = ago.Milliseconds()
+	}
+	if k.whole >= 0 {
+		s.DecidedMs = (now - k.whole).Milliseconds()
+	}
+	for name := range t.cfg.Members {
+		s.Members[name] = k.node.Member(name).State.String()
+	}
+	for _, kind := range []string{replica.DeadKind, council.OrderKind} {
+		s.Sums[kind] = k.node.Copies().Sum(kind)
+	}
+	for pool, kept := range k.kept {
+		if kept {
+			s.Kept = append(s.Kept, pool)
+		}
+	}
+	slices.Sort(s.Kept)
+	k.node.Copies().All("", func(e *replica.Entry) bool {
+		c := CopyEntry{Owner: e.Owner, Key: e.Key, Inc: e.Inc, Seq: e.Seq}
+		for _, v := range e.Values() {
+			c.Values = append(c.Values, string(v))
+		}
+		s.Entries = append(s.Entries, c)
+		return len(s.Entries) < mostToldEntries
+	})
+	return s
+}
+
+const mostToldEntries = 20000
+
+// forget takes back what this process says under a key.
+func (t *Tier) forget(key string) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.copies
+	switch {
+	case k == nil:
+		return errors.New("this process shares no state: [tier.copies] is missing in its file")
+	case !k.evidence.Forget(k.node, key):
+		return fmt.Errorf("%q has written nothing under %q: ask the member that has", t.cfg.Name, key)
+	}
+	t.keep()
+	return nil
+}
+
+// snapshot is what is kept for the next start.
+func (k *copies) snapshot(name string) []byte {
+	m := &replica.Message{Kind: replica.Sync, Target: name}
+	m.Owners = append(m.Owners, replica.OwnerState{Name: name, Inc: k.node.Inc()})
+	k.node.Copies().All("", func(e *replica.Entry) bool {
+		if e.Owner == name {
+			return true // what it saw itself is to be seen anew
+		}
+		m.Entries = append(m.Entries, *e)
+		return len(m.Entries) < mostKept
+	})
+	return seal(m.Encode())
+}
+
+const mostKept = 2000
+
+// load takes over what the last start has kept. What is in it is old, and counts for nothing that a newer word of its owner contradicts; a file
+// that is damaged, another's or of another format is put aside, since all of it can be had from others.
+func (k *copies) load(now time.Duration, name string) error {
+	if k.cfg.Store == "" {
+		return nil
+	}
+	data, err := os.ReadFile(k.cfg.Store)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	var m *replica.Message
+	if err == nil {
+		data, err = unseal(data)
+	}
+	if err == nil {
+		m, err = replica.Decode(data)
+	}
+	if err == nil && m.Target != name {
+		err = fmt.Errorf("it was kept by %q", m.Target)
+	}
+	if err != nil {
+		aside := k.cfg.Store + ".damaged"
+		if moved := os.Rename(k.cfg.Store, aside); moved != nil {
+			return fmt.Errorf("what was shared: %s: %w; and it can't be put aside: %w", k.cfg.Store, err, moved)
+		}
+		return nil
+	}
+	k.node.Restore(now, m)
+	k.loaded = len(m.Entries)
+	return nil
+}
+
+// writeWhole writes a file so that a crash leaves the old one or the new one.
+func writeWhole(path string, data []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // gone once it has its name
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", strings.TrimSpace(path), err)
+	}
+	return nil
+}
--- a/internal/tier/link.go
+++ b/internal/tier/link.go
@@ -27,6 +27,7 @@
 	kindAsk    = 'Q' // a request, with its handle
 	kindAnswer = 'A' // its answer
 	kindWake   = 'W' // your leases have changed
+	kindGossip = 'G' // about shared state
 )
 
 const (
--- a/internal/tier/memory.go
+++ b/internal/tier/memory.go
@@ -101,6 +101,15 @@
 	return err
 }
 
+// Forget has the process take back what it says under a key.
+func (o *Operator) Forget(ctx context.Context, key string) error {
+	a, err := o.askAll(ctx, asked{Forget: key})
+	if err == nil && a.Why != "" {
+		err = errors.New(a.Why)
+	}
+	return err
+}
+
 // handover is a lease that is to go to a member.
 type handover struct {
 	Name string `json:"name"`
--- a/internal/tier/seat.go
+++ b/internal/tier/seat.go
@@ -141,6 +141,7 @@
 		t.log.Info(e.What, e.Args...)
 	}
 	t.mu.Lock()
+	t.takeOrders(s.node.Fleet())
 	for _, m := range out.Messages {
 		l := t.linkTo(s.node.NameOf(m.GetTo()))
 		if l == nil {
@@ -242,6 +243,7 @@
 	Council     *council.State       `json:"council,omitempty"` // at those that have a seat
 	Failed      string               `json:"failed,omitempty"`
 	Tasks       map[string]task.Page `json:"tasks,omitempty"`
+	Copies      *CopiesStatus        `json:"copies,omitempty"`
 }
 
 // Held is a lease that a process may act on.
@@ -272,6 +274,7 @@
 			s.Running[name] = slot
 		}
 	}
+	s.Copies = t.copiesStatus(now)
 	t.mu.Unlock()
 	if t.store == nil {
 		then(s)
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -35,6 +35,7 @@
 	Rules   lease.Rules
 	Tick    time.Duration // of the council: a leader that is silent for ten is replaced
 	Tasks   []Task
+	Copies  *CopiesConfig // nil: the process shares no state with others
 }
 
 // Task is work that is done once for the whole fleet.
@@ -98,6 +99,7 @@
 	refused  int // connections turned away since that was logged
 	toldAt   time.Duration
 	linkErr  map[string]string
+	copies   *copies           // nil: none
 	heard    string            // a fleet that a member is of
 	passing  map[string]string // leases that go to a member once nothing of them is out
 }
@@ -179,8 +181,12 @@
 		t.runners[cfg.Name] = &runner{cfg: cfg, core: task.NewRunner(cfg.Spec, t.cfg.Rules.RenewEvery()/2, t.cfg.Rules.RenewEvery())}
 		t.keeper.Want(leaseOf(cfg.Name), 1)
 	}
+	err := t.share(s)
 	t.timer = time.NewTimer(0)
 	t.mu.Unlock()
+	if err != nil {
+		return err
+	}
 	t.done.Go(t.accept)
 	t.done.Go(func() { t.preside(st) })
 	t.done.Go(t.rounds)
@@ -206,6 +212,9 @@
 	until := time.Now().Add(closeTime)
 	t.mu.Lock()
 	t.leaving = true
+	if t.copies != nil {
+		t.say(t.copies.node.Leave(t.clock.Now()))
+	}
 	t.mu.Unlock()
 	for time.Now().Before(until) && t.running() {
 		time.Sleep(5 * time.Millisecond)
@@ -340,6 +349,7 @@
 	asks, at := t.keeper.Next(now)
 	for _, a := range asks {
 		t.call(&call{q: council.Request{Lease: &a}, then: func(r council.Response) {
+			t.decidedAt(now, r.Decided)
 			if r.Lease != nil {
 				t.keeper.Answered(t.clock.Now(), *r.Lease)
 			}
@@ -356,6 +366,9 @@
 		t.do(r, act)
 		at = min(at, next)
 	}
+	if t.copies != nil {
+		at = min(at, t.gossip(now))
+	}
 	for handle, c := range t.asks { // those whose answer is late, or was lost
 		if !c.late && now > c.at+t.cfg.Rules.RenewEvery()/2 {
 			c.late = true
@@ -395,6 +408,9 @@
 	t.held = held
 	if t.keeper.Gone() && !t.leaving {
 		t.leaving = true
+		if t.copies != nil {
+			t.say(t.copies.node.Leave(now))
+		}
 		t.log.Error("another process has this one's name: this one holds no lease and does no task any more", "name", t.cfg.Name)
 	}
 }
@@ -471,6 +487,7 @@
 	// Of operators, to this very process; Why says what became of it.
 	Found    bool      `json:"found,omitempty"`
 	Handover *handover `json:"handover,omitempty"`
+	Forget   string    `json:"forget,omitempty"`
 	Why      string    `json:"why,omitempty"`
 }
 
@@ -673,6 +690,8 @@
 			return
 		}
 		t.answered(a.Handle, a.Response)
+	case kindGossip:
+		t.hearCopies(c.peer.Name, payload)
 	case kindWake:
 		t.mu.Lock()
 		t.keeper.Wake()
@@ -707,6 +726,8 @@
 		t.post(func(s *seat) { done(t.found(s)) })
 	case c.peer.Name == operatorName && a.Handover != nil:
 		done(t.handOver(*a.Handover))
+	case c.peer.Name == operatorName && a.Forget != "":
+		done(t.forget(a.Forget))
 	case a.Request.State:
 		t.status(func(s *Status) { answer(council.Response{}, s) })
 	case c.peer.Name == operatorName:
--- a/policy/hint_test.go
+++ b/policy/hint_test.go
@@ -17,6 +17,9 @@
 	if len(b.servers) != 9 || b.servers["s0"].ejected != 0 {
 		t.Error("a server that is not on the list, or drains, was touched")
 	}
+	if b.LeftOut(time.Second, "nobody") || !b.LeftOut(time.Second, "s3") {
+		t.Error("LeftOut")
+	}
 	s := b.servers["s3"]
 	if !b.leftOut(time.Second, s) || s.fails != 0 || s.marked {
 		t.Fatalf("%+v", s)
@@ -30,6 +33,9 @@
 	if b.Probed(2*time.Second, ProbeResult{Server: "s3", Load: &Load{}}, rec); b.leftOut(2*time.Second, s) {
 		t.Error("an answered probe does not end it")
 	}
+	if b.Hint(2*time.Second+firstEject-1, "s3"); b.leftOut(2*time.Second+firstEject-1, s) {
+		t.Error("hearsay is believed against an answer of late")
+	}
 	for i := range 9 {
 		b.Hint(3*time.Second, ServerID(fmt.Sprint("s", i)))
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -617,14 +617,19 @@
 }
 
 // Hint takes hearsay that a server does not answer: it is left out until a probe of this sidecar's own has been answered, and counts
-// as no failure. Where that would leave out more than a third of the servers it is not believed: a liar costs no more than that.
+// as no failure. It is not believed against an answer of late, nor where it would leave out more than a third: a liar costs no more.
 func (b *Balancer) Hint(now Time, id ServerID) {
 	s := b.servers[id]
-	if s != nil && s.State == Ready && s.ejected == 0 && b.cfg.MayProbe && 3*(b.countLeftOut(now)+1) <= len(b.ready) {
+	if s != nil && s.State == Ready && s.ejected == 0 && b.cfg.MayProbe && now-s.lastOK >= firstEject && 3*(b.countLeftOut(now)+1) <= len(b.ready) {
 		s.marked, s.ejected = false, now+firstEject
 	}
 }
 
+// LeftOut reports whether a server is left out after failures or hearsay.
+func (b *Balancer) LeftOut(now Time, id ServerID) bool {
+	return b.servers[id] != nil && b.leftOut(now, b.servers[id])
+}
+
 // Avoided is how many servers that the list names ready are left out after failures; one that is silent for the moment is not.
 func (b *Balancer) Avoided(now Time) int {
 	if bad := b.countLeftOut(now); 2*bad <= len(b.ready) { // see set
