Six lab scenarios of shared state on real processes, with faults between them

lab replica-split, -return, -differ, -liar, -storm, -dead: 8 to 30 processes, links cut, lossy, late and doubled, stops, kills, yesterday's and damaged files. A historian that knows nothing of merging counts versions that go back and entries that come back.

--- /dev/null
+++ b/internal/lab/replica.go
@@ -0,0 +1,736 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"sorrelrudder/internal/standin"
+)
+
+func init() {
+	Register(Scenario{
+		Name: "replica-dead", Duration: 8 * time.Second, Run: replicaDead,
+		Summary: "a server dies silently before 30 processes: sends to it with shared state and without, on the same seed",
+	})
+	Register(Scenario{
+		Name: "replica-split", Duration: 12 * time.Second, Run: replicaSplit,
+		Summary: "ten processes split in two while servers die and orders are given on one side, and meet again",
+	})
+	Register(Scenario{
+		Name: "replica-return", Duration: 16 * time.Second, Run: replicaReturn,
+		Summary: "processes that were killed, stopped, or come back with yesterday's file catch up",
+	})
+	Register(Scenario{
+		Name: "replica-differ", Duration: 14 * time.Second, Run: replicaDiffer,
+		Summary: "one name is started again and again, orders are given and lifted over lossy links: one rule settles it everywhere",
+	})
+	Register(Scenario{
+		Name: "replica-liar", Duration: 10 * time.Second, Run: replicaLiar,
+		Summary: "one, then two of twelve processes say that all servers are dead: what that costs",
+	})
+	Register(Scenario{
+		Name: "replica-storm", Duration: 14 * time.Second, Run: replicaStorm,
+		Summary: "20 processes under lost, doubled and late messages, stops and kills; ten return at one moment",
+	})
+}
+
+const (
+	usualCopies = "gossip = \"50ms\"\nprobe = \"250ms\"\nsync = \"500ms\"\nkeep = \"4s\"\n"
+	// settleTime is by when after the last fault all copies are to be equal.
+	settleTime = 5 * time.Second
+)
+
+// copiesState is what the lab reads of a process' own account of the shared state.
+type copiesState struct {
+	Incarnation uint64
+	Members     map[string]string
+	InStepMs    int64 `json:"in_step_ms"`
+	DecidedMs   int64 `json:"decided_ms"`
+	Hinted      int
+	Sums        map[string]uint64
+	Figures     struct{ Helped, Turned, Deaths, Suspicions int }
+	Refused     struct{ Differ int }
+	Entries     []struct {
+		Owner, Key string
+		Inc, Seq   uint64
+		Values     []string
+	}
+}
+
+func (f *fleet) copies(p *fleetProc) (s copiesState, err error) {
+	out, err := f.cli("tier", "state", p.addr, "--secret", f.secret, "--json", "--timeout", "2s")
+	if err == nil {
+		err = json.Unmarshal([]byte(out), &s)
+	}
+	if err != nil {
+		err = fmt.Errorf("tier state of %s: %w: %s", p.name, err, out)
+	}
+	return s, err
+}
+
+// all asks all processes at once; one that does not answer is left out.
+func (f *fleet) all(procs []*fleetProc) map[int]copiesState {
+	var mu sync.Mutex
+	var asks sync.WaitGroup
+	got := map[int]copiesState{}
+	slots := make(chan struct{}, 6)
+	for _, p := range procs {
+		asks.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			if s, err := f.copies(p); err == nil {
+				mu.Lock()
+				got[p.i] = s
+				mu.Unlock()
+			}
+		})
+	}
+	asks.Wait()
+	return got
+}
+
+// historian remembers what each start of each process has shown of each entry, and counts what must not be: a version that goes back, and an
+// entry that was gone and is there again as it was. It knows nothing of how copies are merged.
+type historian struct {
+	f         *fleet
+	mu        sync.Mutex
+	newest    map[string][2]uint64 // by process, start, owner and key
+	was       map[string]bool      // there at the last look
+	back      int
+	again     int
+	first     string
+	looks     int
+	decidedTo map[string]uint64
+}
+
+func newHistorian(f *fleet) *historian {
+	return &historian{f: f, newest: map[string][2]uint64{}, was: map[string]bool{}, decidedTo: map[string]uint64{}}
+}
+
+// look looks at all processes once.
+func (h *historian) look() map[int]copiesState {
+	starts := map[int]int{}
+	for _, p := range h.f.procs {
+		p.mu.Lock()
+		starts[p.i] = p.starts
+		p.mu.Unlock()
+	}
+	got := h.f.all(h.f.procs)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.looks++
+	for i, s := range got {
+		p := h.f.procs[i]
+		p.mu.Lock()
+		now := p.starts
+		p.mu.Unlock()
+		if now != starts[i] {
+			continue // it may be another start that answered
+		}
+		prefix := fmt.Sprintf("%s/%d ", p.name, now)
+		there := map[string]bool{}
+		for _, e := range s.Entries {
+			id := prefix + e.Owner + " " + e.Key
+			there[id] = true
+			v, had := [2]uint64{e.Inc, e.Seq}, false
+			last, had := h.newest[id]
+			switch {
+			case had && (v[0] < last[0] || v[0] == last[0] && v[1] < last[1]):
+				h.back++
+				h.note("%s: version %v after %v", id, v, last)
+			case had && v == last && !h.was[id]:
+				h.again++
+				h.note("%s: version %v was gone, and is there again", id, v)
+			}
+			h.newest[id] = v
+		}
+		for id := range h.newest {
+			if strings.HasPrefix(id, prefix) {
+				h.was[id] = there[id]
+			}
+		}
+	}
+	return got
+}
+
+func (h *historian) note(format string, args ...any) {
+	if h.first == "" {
+		h.first = fmt.Sprintf(format, args...)
+	}
+}
+
+// follow looks again and again until ctx ends.
+func (h *historian) follow(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for pause(ctx, 700*time.Millisecond) {
+			h.look()
+		}
+	}()
+	return done
+}
+
+// differing is how many entries are not the same at all processes, and of how many processes something is known.
+func differing(got map[int]copiesState) (entries int) {
+	type at struct{ owner, key string }
+	seen := map[at]map[string]int{}
+	for _, s := range got {
+		for _, e := range s.Entries {
+			id := at{e.Owner, e.Key}
+			if seen[id] == nil {
+				seen[id] = map[string]int{}
+			}
+			seen[id][fmt.Sprint(e.Inc, e.Seq, e.Values)]++
+		}
+	}
+	for _, versions := range seen {
+		n := 0
+		for _, count := range versions {
+			n += count
+		}
+		if len(versions) > 1 || n != len(got) {
+			entries++
+		}
+	}
+	return entries
+}
+
+// converge waits until all processes are there to each other and hold the same, and notes how long after the last fault that was.
+func (h *historian) converge(ctx context.Context, name string) error {
+	f := h.f
+	from := time.Now()
+	var got map[int]copiesState
+	err := f.await(ctx, 40*time.Second, "all hold the same of all", func() bool {
+		got = h.look()
+		if len(got) < len(f.procs) || differing(got) > 0 {
+			return false
+		}
+		for _, s := range got {
+			for _, state := range s.Members {
+				if state != "alive" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if err != nil {
+		var told []string
+		for i, s := range got {
+			for name, state := range s.Members {
+				if state != "alive" {
+					told = append(told, fmt.Sprintf("%s holds %s for %s", f.procs[i].name, name, state))
+				}
+			}
+		}
+		slices.Sort(told)
+		return fmt.Errorf("%w: %d entries differ; %s; %w", errNotWhole, differing(got), strings.Join(told[:min(len(told), 8)], ", "), err)
+	}
+	took := time.Since(from)
+	f.env.Measure(name+"_s", took.Seconds())
+	late := 0
+	if took > settleTime {
+		late = 1
+	}
+	f.env.Measure("late_"+name, float64(late))
+	return nil
+}
+
+// judge notes what the copies have come to. All was well for settleTime before.
+func (h *historian) judge() {
+	e := h.f.env
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.first != "" {
+		e.Broken("%s", h.first)
+	}
+	e.AtMost("went_back", float64(h.back), 0)
+	e.AtMost("resurrected", float64(h.again), 0)
+	e.Measure("looks", float64(h.looks))
+}
+
+// diverged is how many entries differ settleTime after the last fault. What is on its way at one look is not at all of three.
+func (h *historian) diverged(ctx context.Context, since time.Time) {
+	pause(ctx, settleTime-time.Since(since))
+	least := 1 << 30
+	for range 3 {
+		least = min(least, differing(h.look()))
+		if least == 0 {
+			break
+		}
+		pause(ctx, 300*time.Millisecond)
+	}
+	h.f.env.AtMost("diverged", float64(least), 0)
+}
+
+// order gives or lifts an order, by any process that reaches the council.
+func (f *fleet) order(verb, pool, server string, by *fleetProc) error {
+	out, err := f.cli("tier", "order", verb, pool, server, by.addr, "--secret", f.secret)
+	if err != nil {
+		return fmt.Errorf("order %s %s: %w: %s", verb, server, err, out)
+	}
+	f.note("order: %s %s", verb, server)
+	return nil
+}
+
+// crowds has clients ask at all processes until ctx ends, rate operations a second at each, and returns what became of all.
+func (f *fleet) crowds(ctx context.Context, name string, rate float64, ledger *standin.Ledger) *standin.Crowd {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	var sum *standin.Crowd
+	for _, p := range f.procs {
+		addr := p.prog.Addr("farm")
+		all.Go(func() {
+			c := standin.RunClients(ctx, standin.ClientConfig{
+				Name: name + p.name, Addr: addr, Host: "farm.example.org", Rate: rate, Tries: 3, Backoff: 30 * time.Millisecond, Honour: true,
+				Classes: []standin.ClassLoad{deliveryOrder, meterBooking, allocationCheck}, Ledger: ledger, Seed: f.env.Seed<<8 + uint64(p.i),
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if sum == nil {
+				sum = c
+			} else {
+				sum = sum.With(c)
+			}
+		})
+	}
+	all.Wait()
+	return sum
+}
+
+func replicaDead(ctx context.Context, e *Env) error {
+	const processes, boxes, rate = 30, 10, 4
+	type outcome struct {
+		lost   int64
+		served float64
+	}
+	results := map[bool]outcome{}
+	ledger := standin.NewLedger()
+	for _, shared := range []bool{false, true} {
+		cfg := fleetConfig{
+			processes: processes, voters: 3, nboxes: boxes, ledger: ledger,
+			box: func(b *standin.BoxConfig) { b.Service = 15 * time.Millisecond },
+		}
+		name := "alone"
+		if shared {
+			cfg.copies, name = usualCopies, "shared"
+		}
+		f, err := e.startFleet(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		for _, p := range f.procs {
+			if err := p.ready(ctx); err != nil {
+				return err
+			}
+		}
+		length := e.Duration / 2
+		e.Phase("a server dies silently, "+name, length)
+		load, cancel := context.WithTimeout(ctx, length+2*time.Second)
+		dead := f.boxes[int(e.Seed)%boxes]
+		went := make(chan struct{})
+		go func() {
+			defer close(went)
+			if pause(load, 2*time.Second) { // all have met some servers by then
+				f.note("%s dies", dead.Name())
+				dead.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+			}
+		}()
+		crowd := f.crowds(load, name, rate, ledger)
+		cancel()
+		<-went
+		results[shared] = outcome{dead.Lost(), crowd.Share()}
+		e.crowd(name+"_", crowd)
+		if shared {
+			hinted := 0
+			for _, s := range f.all(f.procs) {
+				hinted += s.Hinted
+			}
+			e.Measure("hints", float64(hinted))
+		}
+		f.stop()
+	}
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.Measure("dead_sends_alone", float64(results[false].lost))
+	e.Measure("dead_sends", float64(results[true].lost))
+	e.AtMost("dead_sends_share", float64(results[true].lost)/float64(max(1, results[false].lost)), 0.5)
+	e.Measure("served_alone", results[false].served)
+	e.AtLeast("served", results[true].served, results[false].served-0.01)
+	return nil
+}
+
+func replicaSplit(ctx context.Context, e *Env) error {
+	ledger := standin.NewLedger()
+	f, err := e.startFleet(ctx, fleetConfig{processes: 10, voters: 3, nboxes: 6, copies: usualCopies, ledger: ledger})
+	if err != nil {
+		return err
+	}
+	h := newHistorian(f)
+	if err := h.converge(ctx, "started"); err != nil {
+		return err
+	}
+	side := func(i int) bool { return i < 5 } // the council's majority, all of it, is on one side
+	part := e.Duration / 2
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	followed := h.follow(load)
+	crowd := make(chan *standin.Crowd, 1)
+	go func() { crowd <- f.crowds(load, "farm", 5, ledger) }()
+	e.Phase("half and half", part)
+	f.note("split")
+	mend := f.each(func(a, b int) bool { return side(a) != side(b) }, func(w *standin.Way) { w.Cut = true }, func(w *standin.Way) { w.Cut = false })
+	f.boxes[0].SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+	pause(load, part/2)
+	if err := f.order("avoid", "farm", f.boxes[1].Name(), f.procs[0]); err != nil {
+		return err
+	}
+	if err := f.order("avoid", "farm", f.boxes[2].Name(), f.procs[1]); err != nil {
+		return err
+	}
+	if err := f.order("lift", "farm", f.boxes[2].Name(), f.procs[1]); err != nil {
+		return err
+	}
+	if out, err := f.cli("tier", "order", "avoid", "farm", f.boxes[3].Name(), f.procs[7].addr, "--secret", f.secret, "--timeout", "1s"); err == nil {
+		e.Broken("the side without the council's majority has decided something: %s", out)
+	}
+	pause(load, part/2)
+	far, err := f.copies(f.procs[8])
+	if err != nil {
+		return err
+	}
+	e.AtLeast("decided_age_cut_off_s", float64(far.DecidedMs)/1000, (part / 2).Seconds()) // it says how old what it has is
+	f.boxes[0].SetFault(standin.Fault{})
+	mend()
+	healed := time.Now()
+	f.note("the halves meet again")
+	e.Phase("healed", part)
+	if err := h.converge(ctx, "converged"); err != nil {
+		return err
+	}
+	h.diverged(ctx, healed)
+	<-followed
+	c := <-crowd
+	for _, p := range f.procs {
+		s, err := f.copies(p)
+		if err != nil {
+			return err
+		}
+		has := map[string]int{}
+		for _, x := range s.Entries {
+			if x.Owner == "*council" {
+				has[x.Key] = len(x.Values)
+			}
+		}
+		if has["order/farm/"+f.boxes[1].Name()] != 1 || has["order/farm/"+f.boxes[2].Name()] != 0 {
+			e.Broken("%s holds other orders than were given: %v", p.name, has)
+		}
+	}
+	h.judge()
+	e.crowd("", c)
+	e.Measure("served", c.Share())
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	f.stop()
+	return nil
+}
+
+func replicaReturn(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 41))
+	f, err := e.startFleet(ctx, fleetConfig{processes: 10, voters: 3, nboxes: 6, copies: usualCopies + "store = \"DIR/NAME.copies\"\n"})
+	if err != nil {
+		return err
+	}
+	h := newHistorian(f)
+	if err := h.converge(ctx, "started"); err != nil {
+		return err
+	}
+	follow, stop := context.WithCancel(ctx)
+	defer stop()
+	followed := h.follow(follow)
+	var took []float64
+	least := func(p *fleetProc, what string) error {
+		at := time.Now()
+		err := f.await(ctx, 20*time.Second, p.name+" has caught up", func() bool {
+			s, err := f.copies(p)
+			return err == nil && s.InStepMs >= 0 && s.InStepMs <= time.Since(at).Milliseconds()
+		})
+		took = append(took, time.Since(at).Seconds())
+		f.note("%s, %s, has caught up after %.2f s", p.name, what, time.Since(at).Seconds())
+		return err
+	}
+	part := e.Duration / 4
+	e.Phase("killed, and started again at once", part)
+	for range 2 {
+		p := f.procs[3+rng.IntN(7)]
+		f.note("%s is killed", p.name)
+		p.end()
+		if err := p.start(); err != nil {
+			return err
+		}
+		if err := least(p, "killed"); err != nil {
+			return err
+		}
+	}
+	e.Phase("stopped for long, and gone on", part)
+	p := f.procs[3+rng.IntN(7)]
+	f.note("%s is stopped", p.name)
+	p.prog.Signal(syscall.SIGSTOP)
+	if err := f.order("avoid", "farm", f.boxes[1].Name(), f.procs[0]); err != nil {
+		return err
+	}
+	if !pause(ctx, part) {
+		return ctx.Err()
+	}
+	p.prog.Signal(syscall.SIGCONT)
+	if err := least(p, "stopped"); err != nil {
+		return err
+	}
+	e.Phase("yesterday's file", part)
+	p = f.procs[3+rng.IntN(7)]
+	file := strings.TrimSuffix(p.file(), ".toml") + ".copies"
+	if err := f.await(ctx, 20*time.Second, "the file is written", func() bool { _, err := os.Stat(file); return err == nil }); err != nil {
+		return err
+	}
+	old, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if err := f.order("lift", "farm", f.boxes[1].Name(), f.procs[0]); err != nil {
+		return err
+	}
+	pause(ctx, part/2)
+	p.end()
+	if err := os.WriteFile(file, old, 0o600); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	if err := least(p, "with yesterday's file"); err != nil {
+		return err
+	}
+	e.Phase("a damaged file", part)
+	p.end()
+	old[len(old)/2] ^= 0x10
+	if err := os.WriteFile(file, old, 0o600); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	if err := least(p, "with a damaged file"); err != nil {
+		return err
+	}
+	if _, err := os.Stat(file + ".damaged"); err != nil {
+		e.Broken("a damaged file was not put aside: %v", err)
+	}
+	since := time.Now()
+	if err := h.converge(ctx, "converged"); err != nil {
+		return err
+	}
+	h.diverged(ctx, since)
+	stop()
+	<-followed
+	slices.Sort(took)
+	e.Measure("catchup_p50_s", took[len(took)/2])
+	e.AtMost("catchup_most_s", took[len(took)-1], 5)
+	h.judge()
+	f.stop()
+	return nil
+}
+
+func replicaDiffer(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 42))
+	f, err := e.startFleet(ctx, fleetConfig{processes: 8, voters: 3, nboxes: 6, copies: usualCopies})
+	if err != nil {
+		return err
+	}
+	h := newHistorian(f)
+	if err := h.converge(ctx, "started"); err != nil {
+		return err
+	}
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	followed := h.follow(load)
+	e.Phase("starts of one name, orders over lossy links", e.Duration)
+	mend := f.each(func(int, int) bool { return true },
+		func(w *standin.Way) { w.Drop, w.Double, w.Jitter = 0.1, 0.1, 100*time.Millisecond },
+		func(w *standin.Way) { w.Drop, w.Double, w.Jitter = 0, 0, 0 })
+	p := f.procs[7]
+	ordered := map[string]bool{}
+	starts := 0
+	for n := 0; load.Err() == nil; n++ {
+		p.end() // again and again, some 100 times a minute
+		if err := p.start(); err != nil {
+			return err
+		}
+		starts++
+		box := f.boxes[rng.IntN(3)].Name()
+		verb := "avoid"
+		if ordered[box] {
+			verb = "lift"
+		}
+		if err := f.order(verb, "farm", box, f.procs[rng.IntN(3)]); err == nil {
+			ordered[box] = !ordered[box]
+		} else if s, err := f.copies(f.procs[0]); err == nil { // the answer was lost: what is so?
+			for _, x := range s.Entries {
+				if x.Key == "order/farm/"+box {
+					ordered[box] = len(x.Values) > 0
+				}
+			}
+		}
+		pause(load, 400*time.Millisecond)
+	}
+	mend()
+	<-followed
+	since := time.Now()
+	if err := h.converge(ctx, "converged"); err != nil {
+		return err
+	}
+	h.diverged(ctx, since)
+	got := f.all(f.procs)
+	incs := map[uint64]bool{}
+	differ := 0
+	for _, s := range got {
+		differ += s.Refused.Differ
+		for _, x := range s.Entries {
+			if x.Owner == p.name {
+				incs[x.Inc] = true
+			}
+		}
+	}
+	e.Measure("starts", float64(starts))
+	e.AtMost("contents_of_one_version", float64(differ), 0)
+	if len(incs) > 1 {
+		e.Broken("entries of %d incarnations of %s are held", len(incs), p.name)
+	}
+	h.judge()
+	f.stop()
+	return nil
+}
+
+func replicaLiar(ctx context.Context, e *Env) error {
+	served := map[int]float64{}
+	ledger := standin.NewLedger()
+	for liars := range 3 {
+		var names []string
+		for i := range 9 {
+			names = append(names, fmt.Sprintf("farm/box-%d", i+1))
+		}
+		f, err := e.startFleet(ctx, fleetConfig{
+			processes: 12, voters: 3, nboxes: 9, copies: usualCopies, ledger: ledger,
+			box: func(b *standin.BoxConfig) { b.Service = 15 * time.Millisecond },
+			lies: func(i int) string {
+				if i >= 12-liars {
+					return strings.Join(names, ",")
+				}
+				return ""
+			},
+		})
+		if err != nil {
+			return err
+		}
+		if err := newHistorian(f).converge(ctx, fmt.Sprintf("started_%d", liars)); err != nil {
+			return err
+		}
+		e.Phase(fmt.Sprintf("%d liars", liars), e.Duration/3)
+		load, cancel := context.WithTimeout(ctx, e.Duration/3)
+		crowd := f.crowds(load, fmt.Sprintf("l%d", liars), 15, ledger)
+		cancel()
+		served[liars] = crowd.Share()
+		hinted := 0
+		for _, s := range f.all(f.procs) {
+			hinted += s.Hinted
+		}
+		e.Measure(fmt.Sprintf("hints_%d", liars), float64(hinted))
+		e.Measure(fmt.Sprintf("served_%d", liars), crowd.Share())
+		f.stop()
+		if liars == 1 && hinted > 0 {
+			e.Broken("one liar is believed: %d hints", hinted)
+		}
+		if liars == 2 && hinted == 0 {
+			e.Broken("nobody was lied to: nothing was shown")
+		}
+	}
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.AtMost("lost_to_one_liar", served[0]-served[1], 0.02)
+	e.AtMost("lost_to_two_liars", served[0]-served[2], 0.1)
+	return nil
+}
+
+func replicaStorm(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 43))
+	ledger := standin.NewLedger()
+	f, err := e.startFleet(ctx, fleetConfig{processes: 20, voters: 3, nboxes: 6, copies: usualCopies, ledger: ledger})
+	if err != nil {
+		return err
+	}
+	h := newHistorian(f)
+	if err := h.converge(ctx, "started"); err != nil {
+		return err
+	}
+	faults, err := e.faults(drawFaults(rng, []string{"kill", "stop", "cut", "oneway", "loss", "storm", "split", "truncate", "leave"}, int(e.Duration/(700*time.Millisecond)), 20, e.Duration))
+	if err != nil {
+		return err
+	}
+	e.Phase("faults drawn from the seed", e.Duration)
+	load, cancel := context.WithCancel(ctx)
+	defer cancel()
+	followed := h.follow(load)
+	f.boxes[0].SetFault(standin.Fault{Kind: standin.Dead, Share: 0.5})
+	f.play(ctx, faults)
+	f.boxes[0].SetFault(standin.Fault{})
+	cancel()
+	<-followed
+	if err := f.mendAll(ctx); err != nil {
+		return err
+	}
+	since := time.Now()
+	if err := h.converge(ctx, "converged"); err != nil {
+		return err
+	}
+	h.diverged(ctx, since)
+	e.Phase("ten return at one moment", settleTime)
+	for _, p := range f.procs[10:] {
+		p.end()
+	}
+	at := time.Now()
+	for _, p := range f.procs[10:] {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	if err := f.await(ctx, 20*time.Second, "all ten have caught up", func() bool {
+		got := f.all(f.procs[10:])
+		n := 0
+		for _, s := range got {
+			if s.InStepMs >= 0 {
+				n++
+			}
+		}
+		return n == 10
+	}); err != nil {
+		return err
+	}
+	e.AtMost("catchup_s", time.Since(at).Seconds(), 10)
+	if err := h.converge(ctx, "converged_again"); err != nil {
+		return err
+	}
+	h.judge()
+	f.stop()
+	return nil
+}
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -36,12 +37,17 @@
 	memory            bool                       // the council is in memory
 	plain             bool                       // the pool speaks plain HTTP
 	more              string                     // further keys of [tier]
+	copies            string                     // keys of [tier.copies]; empty: no state is shared
+	nboxes            int                        // 0: three
+	ledger            *standin.Ledger            // of clients, or nil
+	lies              func(i int) string         // what a process says is dead though it is not, or nil
 }
 
 // fleet is a fleet of real processes, each on a loopback address of its own, with a link between every ordered pair.
 type fleet struct {
 	env    *Env
 	cfg    fleetConfig
+	dir    string // of its files
 	acts   *standin.Acts
 	boxes  []*standin.Box
 	secret string
@@ -81,12 +87,15 @@
 
 // startFleet starts a fleet, founded by its first process.
 func (e *Env) startFleet(ctx context.Context, cfg fleetConfig) (*fleet, error) {
-	f := &fleet{env: e, cfg: cfg, acts: standin.NewActs(), links: map[[2]int]*standin.FrameLink{}, secret: filepath.Join(e.Dir, "secret")}
+	dir, err := os.MkdirTemp(e.Dir, "fleet-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{env: e, cfg: cfg, dir: dir, acts: standin.NewActs(), links: map[[2]int]*standin.FrameLink{}, secret: filepath.Join(dir, "secret")}
 	if err := os.WriteFile(f.secret, []byte("a secret of the laboratory\n"), 0o600); err != nil {
 		return nil, err
 	}
-	var err error
-	f.boxes, err = e.boxes("box", 3, nil, func(b *standin.BoxConfig) {
+	f.boxes, err = e.boxes("box", cmp.Or(cfg.nboxes, 3), cfg.ledger, func(b *standin.BoxConfig) {
 		b.Acts, b.Service = f.acts, 5*time.Millisecond
 		if cfg.box != nil {
 			cfg.box(b)
@@ -101,9 +110,9 @@
 			return nil, err
 		}
 		if i < cfg.voters && !cfg.memory {
-			p.store = filepath.Join(e.Dir, p.name+".db")
+			p.store = filepath.Join(dir, p.name+".db")
 		}
-		p.disk = filepath.Join(e.Dir, p.name+".disk")
+		p.disk = filepath.Join(dir, p.name+".disk")
 		if cfg.clocks != nil {
 			p.rate = cfg.clocks(i)
 		}
@@ -159,7 +168,7 @@
 	})
 }
 
-func (p *fleetProc) file() string { return filepath.Join(p.f.env.Dir, p.name+".toml") }
+func (p *fleetProc) file() string { return filepath.Join(p.f.dir, p.name+".toml") }
 
 // text is the operator's file of a process: the others are where its links to them begin.
 func (p *fleetProc) text() string {
@@ -189,6 +198,9 @@
 		}
 		fmt.Fprintf(&b, "[[tier.members]]\nname = %q\naddress = %q\n", q.name, addr)
 	}
+	if p.f.cfg.copies != "" {
+		fmt.Fprintf(&b, "[tier.copies]\n%s", strings.ReplaceAll(p.f.cfg.copies, "DIR/NAME", filepath.Join(p.f.dir, p.name)))
+	}
 	b.WriteString(p.f.cfg.tasks)
 	return b.String()
 }
@@ -204,6 +216,9 @@
 	if p.rate != 1 {
 		env = append(env, fmt.Sprintf("SORRELRUDDER_LAB_CLOCK=%.4f", p.rate))
 	}
+	if p.f.cfg.lies != nil {
+		env = append(env, "SORRELRUDDER_LAB_LIES="+p.f.cfg.lies(p.i))
+	}
 	prog, err := p.f.env.CommandWith(env, "run", p.file())
 	if err != nil {
 		return err
@@ -563,6 +578,17 @@
 
 // settle ends all faults, and waits until a lease is held again.
 func (f *fleet) settle(ctx context.Context, lease string) error {
+	if err := f.mendAll(ctx); err != nil {
+		return err
+	}
+	if err := f.await(ctx, 15*time.Second, lease+" is held", func() bool { return f.holder(lease) >= 0 }); err != nil {
+		return fmt.Errorf("%w: %w", errNotWhole, err)
+	}
+	return nil
+}
+
+// mendAll ends all faults, and starts what does not run.
+func (f *fleet) mendAll(ctx context.Context) error {
 	f.each(func(int, int) bool { return true }, func(w *standin.Way) { *w = standin.Way{} }, func(*standin.Way) {})
 	for _, p := range f.procs {
 		os.Remove(p.disk)
@@ -577,9 +603,6 @@
 			return err
 		}
 	}
-	if err := f.await(ctx, 15*time.Second, lease+" is held", func() bool { return f.holder(lease) >= 0 }); err != nil {
-		return fmt.Errorf("%w: %w", errNotWhole, err)
-	}
 	return nil
 }
 
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -27,10 +27,11 @@
 	Reset             // runs, and the connection is reset
 	Spoilt            // runs, and the answer cannot be read
 	Closes            // the connection ends as the request comes; never ran, which nobody else can tell
+	Dead              // nothing runs and nothing is answered, probes neither, as of a machine that has vanished
 )
 
 var faultWords = map[string]FaultKind{
-	"errors": Error, "turns away": Turned, "slow": Slow, "silent": Silent, "resets": Reset, "spoils": Spoilt, "closes": Closes,
+	"errors": Error, "turns away": Turned, "slow": Slow, "silent": Silent, "resets": Reset, "spoils": Spoilt, "closes": Closes, "dead": Dead,
 }
 
 // Fault befalls a share of the requests of a box.
@@ -102,6 +103,7 @@
 	queued atomic.Int64
 	inWork atomic.Int64
 	served atomic.Int64
+	lost   atomic.Int64 // while it was dead
 	conns  atomic.Int64
 	fault  atomic.Pointer[Fault]
 	drains atomic.Bool
@@ -169,6 +171,9 @@
 // Drain makes the box turn new requests away, as one that is about to end does.
 func (b *Box) Drain(on bool) { b.drains.Store(on) }
 
+// Lost is how many requests have come while the box was dead.
+func (b *Box) Lost() int64 { return b.lost.Load() }
+
 // Served is how many requests the box has answered with 200.
 func (b *Box) Served() int64 { return b.served.Load() }
 
@@ -232,6 +237,16 @@
 		if err != nil || len(body) > mostBody {
 			return
 		}
+		if b.fault.Load().Kind == Dead {
+			if q.URL.Path != "/load" && q.URL.Path != "/healthz" {
+				b.lost.Add(1)
+				if b.cfg.Ledger != nil {
+					b.cfg.Ledger.Arrived(b.cfg.Name, q.Header.Get("X-Request-Id"))
+				}
+			}
+			io.Copy(io.Discard, c)
+			return
+		}
 		var text string
 		switch q.URL.Path {
 		case "/healthz":
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -59,8 +59,12 @@
 	kept     map[string]bool // pools whose orders can't be carried out: no ready server would be left
 	loaded   int
 	hinted   int
+	lies     []string // only the laboratory's
 }
 
+// labLies names the laboratory's setting: servers, as POOL/SERVER and separated by commas, that the process says are dead, whatever it sees.
+const labLies = "SORRELRUDDER_LAB_LIES"
+
 // share begins to take part in the shared state. The caller has mu.
 func (t *Tier) share(s Sender) error {
 	c := t.cfg.Copies
@@ -82,6 +86,9 @@
 	if err := k.load(now, t.cfg.Name); err != nil {
 		return err
 	}
+	if lies := os.Getenv(labLies); lies != "" {
+		k.lies = strings.Split(lies, ",")
+	}
 	k.pools, _ = s.(Pools)
 	if k.pools != nil {
 		k.pools.OnLeftOut(func(pool, server string, out bool) { // under a pool's lock: it must not wait
@@ -104,6 +111,9 @@
 			k.evidence.Saw(now, k.node, key, s.out)
 		}
 	}
+	for _, lie := range k.lies {
+		k.evidence.Saw(now, k.node, replica.DeadKind+"/"+lie, true)
+	}
 	t.say(k.node.Tick(now))
 	t.heed(now)
 	if k.cfg.Store != "" && now >= k.saveAt {
