--- a/internal/emulator/hearsay.go
+++ b/internal/emulator/hearsay.go
@@ -12,7 +12,7 @@
 // sayTimes is how often within that time the others hear it.
 const sayTimes = 5
 
-// tells has the others hear of a server that the module has just left out, after the lag. What comes of it is the module's: see
+// tells has the others hear of a server that has just not answered, after the lag. What comes of it is the module's: see
 // policy.Balancer.Hint.
 func (in *instance) tells(now policy.Time, s *server, st policy.Status) {
 	w := in.w
@@ -20,7 +20,7 @@
 		return
 	}
 	id := policy.ServerID(s.id)
-	if at, had := in.said[id]; had && now < at+sayAgain || in.b.Learnt(now).Servers[id].EjectedFor == 0 {
+	if at, had := in.said[id]; had && now < at+sayAgain {
 		return
 	}
 	in.said[id] = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 	lastKey   share.Key
 	stopped   bool
 	avoided   map[string]map[string]bool // servers that take nothing new, by order, by pool
-	leftOut   atomic.Pointer[func(pool, server string, out bool)]
+	silent    atomic.Pointer[func(pool, server string, is bool)]
 
 	// What the pools share. No method of a pool is called under shares: pools call back.
 	shares    sync.Mutex
@@ -320,9 +320,9 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
-	cfg.LeftOut = func(server string, out bool) {
-		if f := g.leftOut.Load(); f != nil {
-			(*f)(p.Name, server, out)
+	cfg.Silent = func(server string, is bool) {
+		if f := g.silent.Load(); f != nil {
+			(*f)(p.Name, server, is)
 		}
 	}
 	if p.Discovery != "" {
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -1,8 +1,8 @@
 package gateway
 
-// OnLeftOut has f told of each server that a pool leaves out after failures that it has seen itself, and of one that it takes again. It is
-// called under the pool's lock, and must call neither pool nor gateway. Only the product asks.
-func (g *Gateway) OnLeftOut(f func(pool, server string, out bool)) { g.leftOut.Store(&f) }
+// OnSilent has f told of each server that has not answered a pool, each time, and once it answers again. It is called under the pool's lock,
+// and must call neither pool nor gateway. Only the product asks.
+func (g *Gateway) OnSilent(f func(pool, server string, is bool)) { g.silent.Store(&f) }
 
 // Hint has a pool's module hear that a server does not answer others.
 func (g *Gateway) Hint(pool, server string) {
--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -5,21 +5,18 @@
 	"sorrelrudder/policy"
 )
 
-// notice tells of a server that the module has left out after failures that this pool has seen itself, and of one that it takes again.
-func (p *Pool) notice(now policy.Time, id policy.ServerID, status policy.Status) {
-	if p.leftOut == nil {
+// notice tells of a server that has not answered this pool, and of one that answers again. A time-out may be the load or chance: what comes of
+// it is for those to say who hear it of several.
+func (p *Pool) notice(id policy.ServerID, status policy.Status) {
+	if p.silent == nil {
 		return
 	}
 	switch status {
-	case policy.ConnectFailed, policy.Timeout, policy.Reset:
-		if p.balancer.LeftOut(now, id) { // told again while it lasts: what is not found out anew is forgotten
-			p.said[id] = true
-			p.leftOut(string(id), true)
-		}
+	case policy.ConnectFailed, policy.Timeout, policy.Reset: // told again while it lasts: what is not found out anew is forgotten
+		p.said[id] = true
+		p.silent(string(id), true)
 	case policy.OK:
-		if p.said[id] && !p.balancer.LeftOut(now, id) {
-			p.unsay(id)
-		}
+		p.unsay(id)
 	}
 }
 
@@ -27,7 +24,7 @@
 func (p *Pool) unsay(id policy.ServerID) {
 	if p.said[id] {
 		delete(p.said, id)
-		p.leftOut(string(id), false)
+		p.silent(string(id), false)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,9 +47,9 @@
 	Elsewhere func(context.Context, *Handover)
 	// Counts is told how requests end and of each attempt written whole; nil: nobody asks.
 	Counts *figures.Counts
-	// LeftOut is told of each server that is left out after failures that the pool has seen itself, again while that lasts, and once it is
-	// taken again; nil: nobody asks. It is called under the pool's lock, and must not call the pool.
-	LeftOut func(server string, out bool)
+	// Silent is told of each server that has not answered an attempt or a probe, each time, and once it answers again; nil: nobody asks. It
+	// is called under the pool's lock, and must not call the pool.
+	Silent func(server string, is bool)
 	// FiguresEvery is how often the log is told what the pool saw and did; 0: never.
 	FiguresEvery time.Duration
 }
@@ -123,8 +123,8 @@
 	closed    bool      // nothing more is to happen
 	tally     tally.Row // what happened since the log was told; counted whether it is or not
 	tells     bool      // it is
-	leftOut   func(server string, out bool)
-	said      map[policy.ServerID]bool // what leftOut was told
+	silent    func(server string, is bool)
+	said      map[policy.ServerID]bool // that silent was told of
 	avoided   map[string]bool          // servers that take nothing new, by order
 }
 
@@ -165,7 +165,7 @@
 	p := &Pool{
 		settings: cfg.Settings, log: log, ctx: ctx, stop: stop, origin: origin, originMs: origin.UnixMilli(), up: up,
 		source: cfg.Source, balancer: b, requests: map[policy.RequestID]*request{}, tell: cfg.Ready, serves: cfg.Serves,
-		leftOut: cfg.LeftOut, said: map[policy.ServerID]bool{},
+		silent: cfg.Silent, said: map[policy.ServerID]bool{},
 		dialect: cfg.Dialect, away: cfg.Elsewhere, counts: cmp.Or(cfg.Counts, &figures.Counts{}),
 		peers: map[policy.ServerID]*upstream.Peer{}, entries: map[policy.ServerID]source.Entry{},
 		effects: map[string]policy.Effect{}, keeps: map[string]time.Duration{}, aims: map[string]time.Duration{},
@@ -372,7 +372,7 @@
 		ID: r.id, Attempt: a.number, Server: a.server, Status: status, Delay: now - a.sent,
 		Closed: r.ended, Load: load,
 	}, p)
-	p.notice(now, a.server, status)
+	p.notice(a.server, status)
 	p.forget(r)
 	return taken
 }
--- a/internal/pool/probe.go
+++ b/internal/pool/probe.go
@@ -48,7 +48,7 @@
 				p.tally.Add(tally.ProbesLost, 1)
 			}
 			p.balancer.Probed(now, policy.ProbeResult{Server: server, Status: status, Delay: now - sent, Load: load}, p)
-			p.notice(now, server, status)
+			p.notice(server, status)
 		})
 	})
 }
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -25,7 +25,7 @@
 
 // Pools is what shared state is about: the process' own pools.
 type Pools interface {
-	OnLeftOut(f func(pool, server string, out bool))
+	OnSilent(f func(pool, server string, is bool))
 	Hint(pool, server string)
 	Avoid(pool string, servers map[string]bool) (done bool)
 }
@@ -39,7 +39,7 @@
 // sight is something that a pool has seen of a server.
 type sight struct {
 	pool, server string
-	out          bool
+	silent       bool
 }
 
 // copies is a process' part in the shared state. All of it is under the tier's mu, but for sights.
@@ -91,9 +91,9 @@
 	}
 	k.pools, _ = s.(Pools)
 	if k.pools != nil {
-		k.pools.OnLeftOut(func(pool, server string, out bool) { // under a pool's lock: it must not wait
+		k.pools.OnSilent(func(pool, server string, is bool) { // under a pool's lock: it must not wait
 			select {
-			case k.sights <- sight{pool, server, out}:
+			case k.sights <- sight{pool, server, is}:
 			default:
 			}
 		})
@@ -108,7 +108,7 @@
 	for n := len(k.sights); n > 0; n-- {
 		s := <-k.sights
 		if key := replica.ServerKey(replica.DeadKind, s.pool, s.server); key != "" {
-			k.evidence.Saw(now, k.node, key, s.out)
+			k.evidence.Saw(now, k.node, key, s.silent)
 		}
 	}
 	for _, lie := range k.lies {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -625,11 +625,6 @@
 	}
 }
 
-// LeftOut reports whether a server is left out after failures or hearsay.
-func (b *Balancer) LeftOut(now Time, id ServerID) bool {
-	return b.servers[id] != nil && b.leftOut(now, b.servers[id])
-}
-
 // Avoided is how many servers that the list names ready are left out after failures; one that is silent for the moment is not.
 func (b *Balancer) Avoided(now Time) int {
 	if bad := b.countLeftOut(now); 2*bad <= len(b.ready) { // see set
