--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -410,3 +410,91 @@
 	w.up["d"].Decide("order/x", 9, nil)
 	w.until("what is lifted is lifted everywhere", 5*time.Second, func() bool { return w.same() && !w.holds("a", Council, "order/x") })
 }
+
+// TestCutOffAtEveryPiece: the connection of one that catches up ends after its first message, after its second, and so on, each time: what has
+// come counts, and it has all in the end; no piece is taken for more than it was.
+func TestCutOffAtEveryPiece(t *testing.T) {
+	for cut := 1; cut < 12; cut++ {
+		w := newNetwork(t, 3)
+		for i := range 120 {
+			w.up["a"].Put(fmt.Sprintf("dead/%03d", i), make([]byte, 600))
+		}
+		w.until("all have it", 20*time.Second, w.same)
+		w.start("c")
+		passed, pieces := 0, 0
+		w.cut = func(from, to string) bool {
+			if to != "c" {
+				return false
+			}
+			passed++
+			if passed > cut { // nothing more gets there for a while, then as many again
+				passed = -3
+				pieces++
+			}
+			return passed < 0
+		}
+		w.until(fmt.Sprintf("all is there, %d messages at a time", cut), time.Minute, w.same)
+		if cut < 3 && pieces == 0 {
+			t.Error("nothing was cut off")
+		}
+	}
+}
+
+// TestAnotherFleet: what processes of another fleet say, whose names this one does not know, is kept out and counted, and costs nothing.
+func TestAnotherFleet(t *testing.T) {
+	w := newNetwork(t, 4)
+	before := w.up["a"].copies.Counts
+	stranger := &Message{Kind: Gossip, Members: []MemberState{{"stranger", 1 << incBits, 0, Alive, ""}}, Owners: []OwnerState{{"stranger", 9, 9}},
+		Entries: []Entry{{"stranger", "dead/x", Version{1, 1}, [][]byte{content("")}}}}
+	w.send("b", []Out{{"a", stranger}})
+	w.run(time.Second)
+	if c := w.up["a"].copies.Counts; c.Unknown < before.Unknown+3 || len(w.up["a"].copies.all()) > 0 {
+		t.Errorf("%+v, %v", c, w.up["a"].copies.all())
+	}
+	if out := w.up["a"].Take(w.now, "stranger", stranger); len(out) > 0 {
+		t.Error("one that is no member is answered")
+	}
+}
+
+// TestEvidence: one witness is not believed, nor dead ones, nor this process' own word; what a witness takes back, or does not find out anew,
+// counts no more. Whoever says that all is well changes nothing: there is nothing to say it with.
+func TestEvidence(t *testing.T) {
+	w := newNetwork(t, 6)
+	v := NewEvidence(2)
+	a := w.up["a"]
+	look := func() []string {
+		w.run(2 * time.Second)
+		v.Look(w.now, a, a.copies.Changed())
+		return v.Hints(a)
+	}
+	w.up["b"].Put("dead/farm/box", nil)
+	if h := look(); len(h) != 0 {
+		t.Fatalf("one witness is believed: %v", h)
+	}
+	w.up["c"].Put("dead/farm/box", nil)
+	if h := look(); len(h) != 1 {
+		t.Fatalf("two are not: %v", h)
+	}
+	v.Saw(w.now, a, "dead/farm/box", true)
+	if h := v.Hints(a); len(h) != 0 {
+		t.Errorf("it is told what it has found out itself: %v", h)
+	}
+	w.run(ownFor + time.Second)
+	look()
+	if h := look(); len(h) != 1 || v.Own() != 0 || w.holds("b", "a", "dead/farm/box") {
+		t.Errorf("%v; what it does not find out anew still counts: %d", h, v.Own())
+	}
+	w.up["c"].Delete("dead/farm/box")
+	if h := look(); len(h) != 0 {
+		t.Errorf("it was taken back, and counts: %v", h)
+	}
+	w.up["d"].Put("dead/farm/box", nil)
+	if h := look(); len(h) != 1 {
+		t.Fatal("two witnesses again")
+	}
+	delete(w.up, "d")
+	w.until("d is held for dead", time.Minute, func() bool { w.run(time.Second); return a.Member("d").State == Dead })
+	if h := look(); len(h) != 0 {
+		t.Errorf("the word of one that is dead counts: %v", h)
+	}
+}
--- a/internal/replica/sync.go
+++ b/internal/replica/sync.go
@@ -74,6 +74,7 @@
 // level, so that it ends; what a lost message leaves out the next look finds again, and what has come counts as it is, whole or not.
 func (n *Node) compare(now time.Duration, from string, m, answer *Message, fresh bool) {
 	asked := false // it begins with this message
+	room := answerBytes
 	for _, r := range m.Ranges {
 		s := n.sumsOf(r.Kind)
 		index := int(r.Index)
@@ -89,6 +90,10 @@
 		if n.sumAt(r.Kind, r.Level, index) == r.Sum {
 			continue
 		}
+		if r.Sum == 0 { // there is nothing at all: it is given as much as there is room for, and asks again
+			n.giveRange(r, answer, &room)
+			continue
+		}
 		if r.Level < 2 {
 			for i := range fan {
 				if len(answer.Ranges) < mostRanges {
@@ -99,7 +104,6 @@
 			answer.Leaves = append(answer.Leaves, n.leaf(r.Kind, index))
 		}
 	}
-	room := answerBytes
 	for _, l := range m.Leaves {
 		n.settle(now, l, answer, &room)
 	}
@@ -204,6 +208,20 @@
 	}
 }
 
+// giveRange adds all that is here of a range, as far as there is room.
+func (n *Node) giveRange(r Range, answer *Message, room *int) {
+	per := 1
+	for range 2 - int(r.Level) {
+		per *= fan
+	}
+	s := n.sumsOf(r.Kind)
+	for leaf := int(r.Index) * per; leaf < (int(r.Index)+1)*per && *room > 0; leaf++ {
+		for _, p := range s.places(leaf) {
+			n.give(r.Kind, p, answer, room)
+		}
+	}
+}
+
 // give adds what is here to an answer, as long as there is room.
 func (n *Node) give(kind string, p Place, answer *Message, room *int) {
 	if *room <= 0 {
