--- a/cmd/sorrelrudder/explore.go
+++ b/cmd/sorrelrudder/explore.go
@@ -15,9 +15,12 @@
 	"slices"
 	"strconv"
 	"sync"
+	"text/tabwriter"
 	"time"
 
+	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/explore"
+	"sorrelrudder/internal/replica"
 )
 
 const (
@@ -216,3 +219,38 @@
 	_, err = io.WriteString(s.out, "nothing broke\n")
 	return err
 }
+
+// mostScale bounds a fleet of copies: each process holds what is known of every other.
+const mostScale = 5000
+
+// replicaScale plays fleets of copies of several sizes.
+func (c *labCmd) replicaScale(s *streams) error {
+	cfg := replica.Usual()
+	cfg.Kinds, cfg.Decided = []string{replica.DeadKind}, []string{council.OrderKind}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	if !c.JSON {
+		fmt.Fprintln(w, "processes\tlost\tin step s\twrite everywhere, p50 s\tp99 s\tdead known, p50 s\tmost s\tliving held for dead\tsuspected\tB/s at rest\tB/s busy\tcaught up s\tB each\tplayed in s")
+	}
+	for _, size := range c.Sizes {
+		for _, loss := range c.Loss {
+			if size < 2 || size > mostScale || !(loss >= 0 && loss < 1) {
+				return fmt.Errorf("%w: %d processes with %g lost: 2 to %d, and a share below 1", errDay, size, loss, mostScale)
+			}
+			r := explore.Scale(explore.ScaleOptions{
+				Seed: c.Seed, Size: size, Loss: loss, Writes: 10, Killed: 2, Length: 10 * time.Second, Wake: time.Second, Start: cfg, Restart: max(1, min(100, size/10)),
+			})
+			if c.JSON {
+				if err := json.NewEncoder(s.out).Encode(r); err != nil {
+					return err
+				}
+				continue
+			}
+			fmt.Fprintf(w, "%d\t%g\t%.1f\t%.2f\t%.2f\t%.1f\t%.1f\t%d\t%d\t%.0f\t%.0f\t%.1f\t%.0f\t%.1f\n", r.Size, r.Loss, r.InStepS, r.ConvergeP5, r.ConvergeP9,
+				r.DeadP50, r.DeadMost, r.False, r.Suspicions, r.Bytes, r.BytesBusy, r.CatchupS, r.CatchupB, r.RealS)
+			if err := w.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/cmd/sorrelrudder/fleet.go
+++ b/cmd/sorrelrudder/fleet.go
@@ -11,10 +11,13 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
+	"sorrelrudder/internal/lab"
 	"sorrelrudder/internal/tally"
+	"sorrelrudder/internal/tier"
 )
 
 // mostLogLine bounds a line of a log; a longer one ends the reading of that file.
@@ -37,6 +40,43 @@
 	Listed    float64        `json:"listed_each"`
 	Warming   float64        `json:"warming_each"`
 	Avoided   float64        `json:"avoided_each"`
+	Shared    *sharedRow     `json:"shared,omitempty"` // nil: no process shares state
+}
+
+// sharedRow is what the state that processes share came to in a spell: sums over all, and the oldest.
+type sharedRow struct {
+	Frames  int64 `json:"frames"`
+	Bytes   int64 `json:"bytes"`
+	InStep  int64 `json:"most_in_step_ms"` // ago, that of the process whose copies were seen equal to another's longest ago; -1: never
+	Decided int64 `json:"most_decided_ms"` // the same of all that was decided
+	Lost    int64 `json:"fewest_alive"`    // members that are alive, to the process that holds the fewest for it
+	Dead    int64 `json:"most_dead"`       // words that a server is dead, at the process that holds most
+	Differ  int64 `json:"differ"`          // contents of one version that differed, since the starts
+}
+
+// add counts a line of one process.
+func (r *sharedRow) add(line string) {
+	field := func(key string) int64 {
+		n, err := strconv.ParseInt(lab.Field(line, key), 10, 64)
+		if err != nil {
+			return 0
+		}
+		return n
+	}
+	oldest := func(a, b int64) int64 {
+		if a < 0 || b < 0 {
+			return -1
+		}
+		return max(a, b)
+	}
+	r.Frames += field("frames")
+	r.Bytes += field("bytes")
+	r.InStep, r.Decided = oldest(r.InStep, field("in_step_ms")), oldest(r.Decided, field("decided_ms"))
+	if n := field("alive"); r.Lost == 0 || n < r.Lost {
+		r.Lost = n
+	}
+	r.Dead = max(r.Dead, field("dead"))
+	r.Differ += field("differ")
 }
 
 // Run counts over all logs, by spell.
@@ -81,6 +121,7 @@
 	type seen struct {
 		row       tally.Row
 		processes map[string]bool
+		shared    *sharedRow
 	}
 	spells := map[int64]*seen{}
 	var first time.Time
@@ -88,6 +129,7 @@
 		at   time.Time
 		file string
 		row  tally.Row
+		text string // of shared state
 	}
 	var lines []line
 	for _, name := range files {
@@ -98,6 +140,15 @@
 		text := bufio.NewScanner(f)
 		text.Buffer(nil, mostLogLine)
 		for text.Scan() {
+			if lab.Field(text.Text(), "msg") == tier.CopiesFigures {
+				if at, err := time.Parse(time.RFC3339Nano, lab.Field(text.Text(), "time")); err == nil {
+					lines = append(lines, line{at: at, file: name, text: text.Text()})
+					if first.IsZero() || at.Before(first) {
+						first = at
+					}
+				}
+				continue
+			}
 			at, pool, row, ok := tally.Parse(text.Text())
 			if !ok || c.Pool != "" && pool != c.Pool {
 				continue
@@ -105,7 +156,7 @@
 			if first.IsZero() || at.Before(first) {
 				first = at
 			}
-			lines = append(lines, line{at, name, row})
+			lines = append(lines, line{at: at, file: name, row: row})
 		}
 		f.Close()
 		if err := text.Err(); err != nil {
@@ -117,8 +168,15 @@
 		if spells[n] == nil {
 			spells[n] = &seen{processes: map[string]bool{}}
 		}
-		spells[n].row.Merge(l.row)
 		spells[n].processes[l.file] = true
+		if l.text != "" {
+			if spells[n].shared == nil {
+				spells[n].shared = &sharedRow{}
+			}
+			spells[n].shared.add(l.text)
+			continue
+		}
+		spells[n].row.Merge(l.row)
 	}
 	var rows []fleetRow
 	for _, n := range slices.Sorted(maps.Keys(spells)) {
@@ -127,7 +185,7 @@
 		r := fleetRow{
 			At: (time.Duration(n) * c.Every).Seconds(), Processes: len(x.processes), Counts: map[string]int{},
 			UsualMs: float64(x.row.Usual) / float64(time.Millisecond), Short: x.row.Short,
-			Listed: float64(x.row.Listed) / each, Warming: float64(x.row.Warming) / each, Avoided: float64(x.row.Avoided) / each,
+			Shared: x.shared, Listed: float64(x.row.Listed) / each, Warming: float64(x.row.Warming) / each, Avoided: float64(x.row.Avoided) / each,
 		}
 		for _, k := range tally.Counts() {
 			r.Counts[k.String()] = x.row.N[k]
@@ -160,5 +218,15 @@
 		fmt.Fprintf(t, "%d\t", sum[k.String()])
 	}
 	fmt.Fprintln(t, "\t\t\t\t\t")
+	if err := t.Flush(); err != nil || !slices.ContainsFunc(rows, func(r fleetRow) bool { return r.Shared != nil }) {
+		return err
+	}
+	fmt.Fprintln(w, "\nshared state; the last four are of the process that is worst off")
+	fmt.Fprintln(t, "s\tframes\tbytes\tdiffer\tin step ms ago\tdecided ms ago\talive\tdead words\t")
+	for _, r := range rows {
+		if x := r.Shared; x != nil {
+			fmt.Fprintf(t, "%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.At, x.Frames, x.Bytes, x.Differ, x.InStep, x.Decided, x.Lost, x.Dead)
+		}
+	}
 	return t.Flush()
 }
--- a/cmd/sorrelrudder/fleet_test.go
+++ b/cmd/sorrelrudder/fleet_test.go
@@ -35,3 +35,24 @@
 		t.Errorf("exit %d: %s", code, errs)
 	}
 }
+
+// Lines of shared state are counted over all processes: sums of what was sent, and of the rest what holds for the one that is worst off.
+func TestFleetCountsSharedState(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"a.log": "time=2026-01-02T03:04:05.0Z level=INFO msg=\"shared state\" tier=a frames=5 bytes=700 in_step_ms=100 decided_ms=50 alive=3 suspect=0 gone=0 dead=2 orders=1 hinted=0 differ=0\n",
+		"b.log": "time=2026-01-02T03:04:05.5Z level=INFO msg=\"shared state\" tier=b frames=6 bytes=300 in_step_ms=900 decided_ms=-1 alive=2 suspect=1 gone=0 dead=4 orders=1 hinted=0 differ=1\n",
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	code, out, errs := call("fleet", "--json", dir)
+	want := `"shared":{"frames":11,"bytes":1000,"most_in_step_ms":900,"most_decided_ms":-1,"fewest_alive":2,"most_dead":4,"differ":1}`
+	if code != 0 || !strings.Contains(out, want) {
+		t.Errorf("exit %d\n%s%s", code, out, errs)
+	}
+	if code, out, _ := call("fleet", dir); code != 0 || !strings.Contains(out, "1000") {
+		t.Errorf("exit %d\n%s", code, out)
+	}
+}
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -19,8 +19,9 @@
 type CopiesConfig struct {
 	Gossip, Probe, Sync, Keep time.Duration
 	Fanout, Witnesses         int
-	Budget                    float64 // bytes a second to those that catch up
-	Store                     string  // file for what it knows, read at the next start; empty: none
+	Budget                    float64       // bytes a second to those that catch up
+	Store                     string        // file for what it knows, read at the next start; empty: none
+	Figures                   time.Duration // how often the log is told figures; 0: never
 }
 
 // Pools is what shared state is about: the process' own pools.
@@ -59,6 +60,9 @@
 	kept     map[string]bool // pools whose orders can't be carried out: no ready server would be left
 	loaded   int
 	hinted   int
+	toldAt   time.Duration
+	frames   int64 // sent until toldAt
+	bytes    int64
 	lies     []string // only the laboratory's
 }
 
@@ -116,6 +120,9 @@
 	}
 	t.say(k.node.Tick(now))
 	t.heed(now)
+	if k.cfg.Figures > 0 && now >= k.toldAt+k.cfg.Figures {
+		t.tellCopies(now)
+	}
 	if k.cfg.Store != "" && now >= k.saveAt {
 		k.saveAt = now + saveEvery
 		data := k.snapshot(t.cfg.Name)
@@ -131,6 +138,34 @@
 	return min(k.node.Next(), k.hintAt)
 }
 
+// CopiesFigures is the message of the log's line on shared state. 'sorrelrudder fleet' counts it over all processes.
+const CopiesFigures = "shared state"
+
+// tellCopies tells the log what has become of the shared state. The caller has mu.
+func (t *Tier) tellCopies(now time.Duration) {
+	k := t.copies
+	frames, bytes := t.sent.gossipFrames.Load(), t.sent.gossipBytes.Load()
+	step, whole := int64(-1), int64(-1)
+	if ago, ok := k.node.Caught(now); ok {
+		step = ago.Milliseconds()
+	}
+	if k.whole >= 0 {
+		whole = (now - k.whole).Milliseconds()
+	}
+	dead, orders := 0, 0
+	k.node.Copies().All("", func(e *replica.Entry) bool {
+		if len(e.Values()) > 0 && replica.KindOf(e.Key) == council.OrderKind {
+			orders++
+		} else if len(e.Values()) > 0 {
+			dead++
+		}
+		return true
+	})
+	t.log.Info(CopiesFigures, "frames", frames-k.frames, "bytes", bytes-k.bytes, "in_step_ms", step, "decided_ms", whole, "alive", k.node.Count(replica.Alive)+1,
+		"suspect", k.node.Count(replica.Suspect), "gone", k.node.Count(replica.Dead), "dead", dead, "orders", orders, "hinted", k.hinted, "differ", k.node.Copies().Counts.Differ)
+	k.frames, k.bytes, k.toldAt = frames, bytes, now
+}
+
 // heed looks at what has changed in the copies. The caller has mu.
 func (t *Tier) heed(now time.Duration) {
 	k := t.copies
--- /dev/null
+++ b/internal/tier/copies_test.go
@@ -0,0 +1,240 @@
+package tier
+
+import (
+	"context"
+	"maps"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/replica"
+)
+
+// farmPools stand for a process' pools: they note what they are told, and see what the test has them see.
+type farmPools struct {
+	servers
+	mu     sync.Mutex
+	silent func(pool, server string, is bool)
+	hints  map[string]int
+	avoid  map[string]bool
+	refuse bool // the orders would leave no server
+}
+
+func newFarm() *farmPools { return &farmPools{hints: map[string]int{}} }
+
+func (f *farmPools) OnSilent(s func(pool, server string, is bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = s
+}
+
+func (f *farmPools) Hint(pool, server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hints[pool+"/"+server]++
+}
+
+func (f *farmPools) Avoid(_ string, servers map[string]bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.avoid = maps.Clone(servers)
+	return !f.refuse
+}
+
+func (f *farmPools) sees(server string, silent bool) {
+	f.mu.Lock()
+	s := f.silent
+	f.mu.Unlock()
+	s("farm", server, silent)
+}
+
+func (f *farmPools) hinted(server string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hints["farm/"+server]
+}
+
+func (f *farmPools) avoids(server string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.avoid[server]
+}
+
+func sharing(t *testing.T, n int) []Config {
+	cfgs := fleet(t, n)
+	for i := range cfgs {
+		cfgs[i].Copies = &CopiesConfig{
+			Gossip: 20 * time.Millisecond, Probe: 200 * time.Millisecond, Sync: 200 * time.Millisecond, Keep: time.Second, Fanout: 2, Witnesses: 2, Budget: 1 << 20,
+			Store: filepath.Join(t.TempDir(), "copies"),
+		}
+	}
+	return cfgs
+}
+
+// state asks a process as an operator does.
+func state(t *testing.T, tr *Tier, cfg Config) *CopiesStatus {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	o, err := Connect(ctx, tr.Addr(), cfg.Secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	s, err := o.Status(ctx)
+	if err != nil || s.Copies == nil {
+		t.Fatalf("%v, %+v", err, s)
+	}
+	return s.Copies
+}
+
+func order(t *testing.T, tr *Tier, cfg Config, c council.OrderCommand) council.OrderResult {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	o, err := Connect(ctx, tr.Addr(), cfg.Secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	r, err := o.Ask(ctx, council.Request{Order: &c})
+	if err != nil || r.Order == nil {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	return *r.Order
+}
+
+// TestSharedState: what two processes find silent a third is hinted at, and one alone is not believed; an order reaches all, also one that was
+// away when it was given; what is taken back, or lifted, counts no more.
+func TestSharedState(t *testing.T) {
+	cfgs := sharing(t, 3)
+	farms := []*farmPools{newFarm(), newFarm(), newFarm()}
+	var all []*Tier
+	for i, cfg := range cfgs {
+		all = append(all, start(t, cfg, farms[i]))
+	}
+	defer func() {
+		for _, tr := range all {
+			tr.Close()
+		}
+	}()
+	eventually(t, "all are there to each other", func() bool {
+		for i, tr := range all {
+			for _, s := range state(t, tr, cfgs[i]).Members {
+				if s != replica.Alive.String() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	farms[0].sees("box", true)
+	eventually(t, "the others have its word", func() bool { return len(state(t, all[2], cfgs[2]).Entries) == 1 })
+	farms[1].sees("box", true)
+	eventually(t, "the third is hinted at it", func() bool { return farms[2].hinted("box") > 0 })
+	if n := farms[0].hinted("box"); n > 0 {
+		t.Errorf("one that found it out itself is hinted at it")
+	}
+	farms[1].sees("box", false)
+	eventually(t, "it is taken back", func() bool { return len(state(t, all[2], cfgs[2]).Hints) == 0 })
+
+	key := replica.ServerKey(council.OrderKind, "farm", "box")
+	if r := order(t, all[1], cfgs[1], council.OrderCommand{Key: key, Lift: true}); r.Why == "" {
+		t.Error("an order that was not given was lifted")
+	}
+	all[2].Close()
+	if r := order(t, all[1], cfgs[1], council.OrderCommand{Key: key, Value: "patched"}); r.Why != "" || r.Number != 1 {
+		t.Errorf("%+v", r)
+	}
+	eventually(t, "those that are there carry it out", func() bool { return farms[0].avoids("box") && farms[1].avoids("box") })
+	farms[2] = newFarm()
+	all[2] = start(t, cfgs[2], farms[2])
+	eventually(t, "and one that comes back", func() bool { return farms[2].avoids("box") })
+	eventually(t, "it knows as of when it has all", func() bool {
+		s := state(t, all[2], cfgs[2])
+		return s.DecidedMs >= 0 && s.InStepMs >= 0
+	})
+	order(t, all[0], cfgs[0], council.OrderCommand{Key: key, Lift: true})
+	eventually(t, "it is lifted everywhere", func() bool {
+		return !farms[0].avoids("box") && !farms[1].avoids("box") && !farms[2].avoids("box")
+	})
+	for _, f := range farms {
+		f.mu.Lock()
+		f.refuse = true
+		f.mu.Unlock()
+	}
+	order(t, all[0], cfgs[0], council.OrderCommand{Key: key})
+	eventually(t, "what can't be carried out is told", func() bool { return len(state(t, all[0], cfgs[0]).Kept) == 1 })
+}
+
+// TestKeptCopies: what a process has kept it has at its next start; a file that is damaged, or another's, is put aside and costs nothing.
+func TestKeptCopies(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "copies")
+	k := &copies{cfg: CopiesConfig{Store: file}}
+	fresh := func() {
+		cfg := replica.Usual()
+		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, []string{council.OrderKind}
+		k.node = replica.New(0, cfg)
+	}
+	fresh()
+	k.node.Decide("order/farm/box", 4, []byte("x"))
+	k.node.Put("dead/farm/own", nil)
+	inc := k.node.Inc()
+	data := k.snapshot("p")
+	if err := writeWhole(file, data); err != nil {
+		t.Fatal(err)
+	}
+	fresh()
+	if err := k.load(0, "p"); err != nil || k.loaded != 1 {
+		t.Fatalf("%d, %v", k.loaded, err)
+	}
+	if e, ok := k.node.Copies().Get(replica.Council, "order/farm/box"); !ok || e.Seq != 4 {
+		t.Errorf("%+v", e)
+	}
+	if k.node.Inc() <= inc {
+		t.Error("the next start does not write above the last one")
+	}
+	for name, bad := range map[string][]byte{"cut": data[:len(data)/2], "flipped": append([]byte{data[0] ^ 1}, data[1:]...), "empty": {}} {
+		if err := os.WriteFile(file, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		fresh()
+		if err := k.load(0, "p"); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := os.Stat(file); !os.IsNotExist(err) {
+			t.Errorf("%s: the file is still there", name)
+		}
+	}
+	if err := writeWhole(file, data); err != nil {
+		t.Fatal(err)
+	}
+	fresh()
+	if err := k.load(0, "q"); err != nil || len(k.node.Copies().Changed()) > 0 {
+		t.Errorf("another's file: %v", err)
+	}
+	if left, err := filepath.Glob(file + ".new-*"); err != nil || len(left) > 0 {
+		t.Errorf("%v is left behind", left)
+	}
+}
+
+// FuzzKept: whatever stands in the file, the process starts.
+func FuzzKept(f *testing.F) {
+	f.Add([]byte("x"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		file := filepath.Join(t.TempDir(), "copies")
+		if err := os.WriteFile(file, seal(data), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg := replica.Usual()
+		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, []string{council.OrderKind}
+		k := &copies{cfg: CopiesConfig{Store: file}, node: replica.New(0, cfg)}
+		if err := k.load(0, "p"); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/tier/link.go
+++ b/internal/tier/link.go
@@ -79,7 +79,7 @@
 }
 
 // traffic counts what a process has sent to others.
-type traffic struct{ frames, bytes atomic.Int64 }
+type traffic struct{ frames, bytes, gossipFrames, gossipBytes atomic.Int64 }
 
 func (c *conn) write(kind byte, payload []byte) error {
 	head := binary.BigEndian.AppendUint32(nil, uint32(1+len(payload)+tagLen))
@@ -93,6 +93,10 @@
 	if c.sent != nil {
 		c.sent.frames.Add(1)
 		c.sent.bytes.Add(int64(len(head) + len(payload) + len(tag)))
+		if kind == kindGossip {
+			c.sent.gossipFrames.Add(1)
+			c.sent.gossipBytes.Add(int64(len(head) + len(payload) + len(tag)))
+		}
 	}
 	buffers := net.Buffers{head, payload, tag}
 	_, err := buffers.WriteTo(c.Conn)
