--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -57,7 +57,10 @@
 	foreign  bool          // a peer of another format was told of
 	whole    time.Duration // the newest moment up to which all that was decided is known to be here; below 0: none
 	avoiding map[string]map[string]bool
-	kept     map[string]bool // pools whose orders can't be carried out: no ready server would be left
+	work     chan struct{}              // something of the next two is there
+	hints    map[string]bool            // servers to be hinted at
+	due      map[string]map[string]bool // orders to be carried out, by pool
+	kept     map[string]bool            // pools whose orders can't be carried out: no ready server would be left
 	loaded   int
 	hinted   int
 	toldAt   time.Duration
@@ -85,7 +88,8 @@
 	now := t.clock.Now()
 	k := &copies{
 		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), whole: -1,
-		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, saveAt: now + saveEvery,
+		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
+		hints: map[string]bool{}, due: map[string]map[string]bool{}, saveAt: now + saveEvery,
 	}
 	if err := k.load(now, t.cfg.Name); err != nil {
 		return err
@@ -103,6 +107,9 @@
 		})
 	}
 	t.copies = k
+	if k.pools != nil {
+		t.done.Go(t.carry)
+	}
 	return nil
 }
 
@@ -188,17 +195,39 @@
 		k.ordered = false
 		orders = k.ordersByPool()
 	}
-	if len(hints) == 0 && orders == nil {
-		return
+	for _, key := range hints {
+		k.hints[key] = true
+	}
+	maps.Copy(k.due, orders)
+	if len(hints)+len(orders) > 0 {
+		select {
+		case k.work <- struct{}{}:
+		default: // it will find them
+		}
 	}
-	t.done.Go(func() { // a pool is asked without any lock of the tier
-		for _, key := range hints {
+}
+
+// carry has the pools hear and do what is due, one thing after the other: an older order never comes after a newer. A pool is asked without any
+// lock of the tier.
+func (t *Tier) carry() {
+	k := t.copies
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-k.work:
+		}
+		t.mu.Lock()
+		hints, orders := k.hints, k.due
+		k.hints, k.due = map[string]bool{}, map[string]map[string]bool{}
+		t.mu.Unlock()
+		t.carryOut(orders)
+		for _, key := range slices.Sorted(maps.Keys(hints)) {
 			if pool, server, ok := replica.ServerOf(key); ok {
 				k.pools.Hint(pool, server)
 			}
 		}
-		t.carryOut(orders)
-	})
+	}
 }
 
 // ordersByPool are the servers that are to be avoided, by pool; a pool that had orders and has none is there with none.
