--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/lease"
 	"sorrelrudder/internal/opfile"
 	"sorrelrudder/internal/replica"
@@ -44,6 +45,13 @@
 		Avoid tierAvoid `cmd:"" help:"Have all processes send nothing new to a server, until the order is lifted."`
 		Lift  tierLift  `cmd:"" help:"Lift such an order."`
 	} `cmd:"" help:"Orders on servers, which the council decides and all members carry out."`
+	Zone struct {
+		Status tierZoneStatus `cmd:"" help:"What is decided of each zone, and how far this process has followed."`
+		Plan   tierZonePlan   `cmd:"" help:"What leaving a zone would do: which servers take nothing more, and how much more the others would have. Changes nothing."`
+		Leave  tierZoneLeave  `cmd:"" help:"Have all processes leave a zone, until 'zone return' or 'zone auto'."`
+		Return tierZoneReturn `cmd:"" help:"Have all processes use a zone wholly or up to a step, until 'zone leave' or 'zone auto'."`
+		Auto   tierZoneAuto   `cmd:"" help:"Leave a zone to the fleet's own judgement again, from the step where it is."`
+	} `cmd:"" help:"Leaving zones, and returning to them."`
 	Member struct {
 		Add     tierAdd     `cmd:"" help:"Let a member have a seat in the council."`
 		Remove  tierRemove  `cmd:"" help:"Take a member's seat away."`
@@ -417,6 +425,155 @@
 	})
 }
 
+type tierZoneStatus struct{ asking }
+
+func (c *tierZoneStatus) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		st, err := zonesOf(ctx, o)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return json.NewEncoder(s.out).Encode(st.Copies.Zones)
+		}
+		w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "pool\tzone\tservers\tavoided here\tepoch\tstep\tfalls\twhy\tjudged")
+		for _, z := range st.Copies.Zones {
+			step := fmt.Sprintf("%d of %d", z.Step, evacuate.Steps)
+			if z.Pinned {
+				step += ", pinned"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\n", z.Pool, z.Zone, z.Servers, z.Avoided, z.Epoch, step, z.Falls, z.Why, z.Cause)
+		}
+		return w.Flush()
+	})
+}
+
+func zonesOf(ctx context.Context, o *tier.Operator) (*tier.Status, error) {
+	st, err := o.Status(ctx)
+	if err == nil && st.Copies == nil {
+		err = fmt.Errorf("%s shares no state: [tier.copies] is missing in its file", st.Name)
+	}
+	return st, err
+}
+
+type tierZone struct {
+	Pool string `arg:"" help:"The pool."`
+	Zone string `arg:"" help:"The zone, as the pool's list names it."`
+	asking
+	Force bool `help:"Also where the fleet would not do it itself; the log says who asked."`
+}
+
+// plan says what leaving a zone would do, by the list of the process that is asked.
+func (c *tierZone) plan(st *tier.Status) (of *tier.ZoneStatus, rest int, err error) {
+	for i := range st.Copies.Zones {
+		z := &st.Copies.Zones[i]
+		switch {
+		case z.Pool != c.Pool:
+		case z.Zone == c.Zone:
+			of = z
+		case z.Step == evacuate.Steps:
+			rest += z.Servers
+		}
+	}
+	if of == nil {
+		var names []string
+		for _, z := range st.Copies.Zones {
+			names = append(names, z.Pool+" "+z.Zone)
+		}
+		return nil, 0, fmt.Errorf("no zone %q of a pool %q; there are: %s", c.Zone, c.Pool, strings.Join(names, ", "))
+	}
+	return of, rest, nil
+}
+
+type tierZonePlan struct{ tierZone }
+
+func (c *tierZonePlan) Run(s *streams) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		st, err := zonesOf(ctx, o)
+		if err != nil {
+			return err
+		}
+		z, rest, err := c.plan(st)
+		if err != nil {
+			return err
+		}
+		if rest == 0 {
+			return fmt.Errorf("without %s no zone of %s would be wholly in use: it can't be left", c.Zone, c.Pool)
+		}
+		_, err = fmt.Fprintf(s.out, "%d servers of %s take nothing new; the %d others have %.2f times as much each, if all are used alike\n", z.Servers, c.Zone, rest, float64(rest+z.Servers)/float64(rest))
+		return err
+	})
+}
+
+type (
+	tierZoneLeave  struct{ tierZone }
+	tierZoneReturn struct {
+		tierZone
+		Step int `default:"4" help:"1: a tenth of the servers, 2: a quarter, 3: a half, 4: all."`
+	}
+	tierZoneAuto struct{ tierZone }
+)
+
+func (c *tierZoneLeave) Run(s *streams) error {
+	return c.decide(s, func(z *tier.ZoneStatus, rest int) (evacuate.State, error) {
+		if rest == 0 && !c.Force {
+			return evacuate.State{}, fmt.Errorf("without %s no zone of %s would be wholly in use; nothing was changed (--force does it all the same)", c.Zone, c.Pool)
+		}
+		return evacuate.State{Step: 0, Pinned: true, Why: "an operator"}, nil
+	})
+}
+
+func (c *tierZoneReturn) Run(s *streams) error {
+	return c.decide(s, func(z *tier.ZoneStatus, _ int) (evacuate.State, error) {
+		switch {
+		case c.Step < 1 || c.Step > evacuate.Steps:
+			return evacuate.State{}, fmt.Errorf("%w: step %d, outside 1 to %d", errDay, c.Step, evacuate.Steps)
+		case c.Step > z.Step+1 && !c.Force:
+			return evacuate.State{}, fmt.Errorf("%s is at step %d: its servers may be cold, and %d at once is more than a step; nothing was changed (--force does it all the same)", c.Zone, z.Step, c.Step-z.Step)
+		}
+		return evacuate.State{Step: c.Step, Pinned: true, Why: "an operator"}, nil
+	})
+}
+
+func (c *tierZoneAuto) Run(s *streams) error {
+	return c.decide(s, func(z *tier.ZoneStatus, _ int) (evacuate.State, error) {
+		return evacuate.State{Step: z.Step, Falls: z.Falls, Why: "left to itself"}, nil
+	})
+}
+
+func (c *tierZone) decide(s *streams, of func(z *tier.ZoneStatus, rest int) (evacuate.State, error)) error {
+	return c.ask(func(ctx context.Context, o *tier.Operator) error {
+		st, err := zonesOf(ctx, o)
+		if err != nil {
+			return err
+		}
+		z, rest, err := c.plan(st)
+		if err != nil {
+			return err
+		}
+		next, err := of(z, rest)
+		if err != nil {
+			return err
+		}
+		if c.Force {
+			next.Why += ", by force"
+		}
+		r, err := o.Ask(ctx, council.Request{Order: &council.OrderCommand{Key: replica.ServerKey(council.ZoneKind, c.Pool, c.Zone), Value: next.Encode()}})
+		if err != nil {
+			return err
+		}
+		if r.Order == nil {
+			return tier.ErrNoCouncil
+		}
+		if r.Order.Why != "" {
+			return errors.New(r.Order.Why)
+		}
+		_, err = fmt.Fprintf(s.out, "epoch %d: %s of %s is at step %d of %d\n", r.Order.Number, c.Zone, c.Pool, next.Step, evacuate.Steps)
+		return err
+	})
+}
+
 type tierFoundCmd struct{ asking }
 
 func (c *tierFoundCmd) Run(s *streams) error {
--- a/internal/council/fleet.go
+++ b/internal/council/fleet.go
@@ -40,6 +40,7 @@
 	Volatile bool              `json:"volatile,omitempty"`
 	Leases   *lease.Machine    `json:"leases"`
 	Ordered  uint64            `json:"ordered,omitempty"` // the number of the newest order
+	Decider  uint64            `json:"decider,omitempty"` // the largest token under which an order was decided
 	Orders   map[string]*Order `json:"orders,omitempty"`
 	Slots    *task.Book        `json:"slots"`
 }
--- a/internal/council/orders.go
+++ b/internal/council/orders.go
@@ -12,6 +12,9 @@
 // OrderKind begins the keys of what operators order: "order/POOL/SERVER".
 const OrderKind = "order"
 
+// ZoneKind begins the keys of what is decided of zones: "zone/POOL/ZONE".
+const ZoneKind = "zone"
+
 // MostOrders bounds the orders, those included that were lifted: their numbers are kept, so that no late copy brings them back.
 const MostOrders = 1024
 
@@ -20,6 +23,7 @@
 	Number uint64 `json:"number"` // of the decision: grows with each
 	Value  string `json:"value,omitempty"`
 	Lifted bool   `json:"lifted,omitempty"`
+	Token  uint64 `json:"token,omitempty"` // of the lease under which it was decided; 0: by an operator
 }
 
 // OrderCommand gives an order or lifts it.
@@ -27,6 +31,10 @@
 	Key   string `json:"key"`
 	Value string `json:"value,omitempty"`
 	Lift  bool   `json:"lift,omitempty"`
+	// Token is the fencing token of the lease whose holder decides; 0: an operator does. After is the number of the decision that it builds
+	// on: if another has come between, it is refused, and the holder looks again.
+	Token uint64 `json:"token,omitempty"`
+	After uint64 `json:"after,omitempty"`
 }
 
 // OrderResult is what became of it.
@@ -43,8 +51,12 @@
 
 func (f *Fleet) order(c OrderCommand) OrderResult {
 	switch {
-	case !strings.HasPrefix(c.Key, OrderKind+"/") || len(c.Key) > replica.MostKeyLen || len(c.Value) > replica.MostValue:
+	case !strings.HasPrefix(c.Key, OrderKind+"/") && !strings.HasPrefix(c.Key, ZoneKind+"/") || len(c.Key) > replica.MostKeyLen || len(c.Value) > replica.MostValue:
 		return OrderResult{Why: "malformed"}
+	case c.Token != 0 && c.Token < f.Decider:
+		return OrderResult{Why: "a newer holder decides"}
+	case c.Token != 0 && f.Orders[c.Key] != nil && f.Orders[c.Key].Number != c.After, c.Token != 0 && f.Orders[c.Key] == nil && c.After != 0:
+		return OrderResult{Why: "something else was decided meanwhile"}
 	case c.Lift && (f.Orders[c.Key] == nil || f.Orders[c.Key].Lifted):
 		return OrderResult{Why: fmt.Sprintf("%q is not ordered", c.Key)}
 	case f.Orders[c.Key] == nil && len(f.Orders) >= MostOrders:
@@ -54,10 +66,14 @@
 		f.Orders = map[string]*Order{}
 	}
 	f.Ordered++
-	f.Orders[c.Key] = &Order{Number: f.Ordered, Value: c.Value, Lifted: c.Lift}
+	f.Decider = max(f.Decider, c.Token)
+	f.Orders[c.Key] = &Order{Number: f.Ordered, Value: c.Value, Lifted: c.Lift, Token: c.Token}
 	return OrderResult{Number: f.Ordered}
 }
 
+// DecidedKinds are those of what the council decides.
+var DecidedKinds = []string{OrderKind, ZoneKind}
+
 // OrdersSince calls each with the orders that are newer than a number, in the order of their numbers, and returns the newest number.
 func (f *Fleet) OrdersSince(number uint64, each func(key string, o Order)) uint64 {
 	var fresh []string
--- /dev/null
+++ b/internal/evacuate/evacuate_test.go
@@ -0,0 +1,205 @@
+package evacuate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "sorrelrudder/internal/fixedseed"
+)
+
+// scene is three zones of four servers and four members each, of which the words say who finds what silent.
+func scene(silent func(memberZone string, member int, serverZone string, server int) bool) Scene {
+	s := Scene{Zones: map[string]string{}, Members: 12, Decided: map[string]State{}}
+	zones := []string{"a", "b", "c"}
+	for _, z := range zones {
+		for i := range 4 {
+			s.Servers = append(s.Servers, Server{fmt.Sprint(z, i), z})
+			s.Zones[fmt.Sprint("m", z, i)] = z
+		}
+	}
+	for _, mz := range zones {
+		for m := range 4 {
+			for _, sz := range zones {
+				for i := range 4 {
+					if silent(mz, m, sz, i) {
+						s.Words = append(s.Words, Word{fmt.Sprint("m", mz, m), fmt.Sprint(sz, i)})
+					}
+				}
+			}
+		}
+	}
+	return s
+}
+
+// TestIsItTheZone: what is a zone's failure, and what only looks like it.
+func TestIsItTheZone(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent func(string, int, string, int) bool
+		change func(*Scene)
+		want   Cause
+	}{
+		"all is well":                {func(string, int, string, int) bool { return false }, nil, Well},
+		"the zone is down":           {func(_ string, _ int, z string, _ int) bool { return z == "b" }, nil, Down},
+		"to those outside":           {func(m string, _ int, z string, _ int) bool { return z == "b" && m != "b" }, nil, Down},
+		"three of four servers":      {func(_ string, _ int, z string, i int) bool { return z == "b" && i < 3 }, nil, Down},
+		"half of its servers":        {func(_ string, _ int, z string, i int) bool { return z == "b" && i < 2 }, nil, Well},
+		"the way from one zone":      {func(m string, _ int, z string, _ int) bool { return z == "b" && m == "a" }, nil, OneSide},
+		"one member is cut off":      {func(m string, i int, _ string, _ int) bool { return m == "a" && i == 0 }, nil, Well},
+		"a whole zone is cut off":    {func(m string, _ int, z string, _ int) bool { return m == "a" && z != "a" }, nil, OneSide},
+		"a release in all zones":     {func(_ string, _ int, _ string, i int) bool { return i < 3 }, nil, AllAlike},
+		"two zones at once":          {func(_ string, _ int, z string, _ int) bool { return z != "a" }, nil, AllAlike},
+		"most members are not there": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) { s.Members = 24 }, Minority},
+		"another zone is left": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) {
+			s.Decided["c"] = State{Step: 0}
+		}, NotEnough},
+		"a liar from its own zone": {func(m string, i int, z string, _ int) bool { return m == "b" && i == 0 && z == "b" }, nil, OneSide},
+	} {
+		s := scene(c.silent)
+		if c.change != nil {
+			c.change(&s)
+		}
+		if got := Usual().Judge(s)["b"]; got != c.want {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// TestReturn: a zone that was left is returned to step by step, each looked at; a step that hurts goes back, and the next return begins later.
+func TestReturn(t *testing.T) {
+	r := Usual()
+	k := NewKeeper(r)
+	s := scene(func(_ string, _ int, z string, _ int) bool { return z == "b" })
+	down := s.Words
+	now := time.Duration(0)
+	next := func() *Change {
+		c, _ := k.Next(now, s)
+		if c != nil {
+			s.Decided[c.Zone] = c.State
+		}
+		return c
+	}
+	if c := next(); c == nil || c.Zone != "b" || c.State.Step != 0 {
+		t.Fatalf("%+v", c)
+	}
+	s.Words = nil // nobody sends there any more
+	next()
+	now += time.Minute
+	if c := next(); c != nil {
+		t.Fatalf("nobody has looked, and it returns: %+v", c)
+	}
+	s.Looks = []Look{{"ma0", "b", true}}
+	if c := next(); c != nil {
+		t.Fatalf("one has looked: %+v", c)
+	}
+	s.Looks = append(s.Looks, Look{"mc0", "b", true}, Look{"mc1", "b", false})
+	if c := next(); c != nil {
+		t.Fatalf("one gets no answer: %+v", c)
+	}
+	s.Looks[2].Answers = true
+	for step := 1; step <= 3; step++ {
+		if c := next(); c == nil || c.State.Step != step {
+			t.Fatalf("step %d: %+v", step, c)
+		}
+		if c := next(); c != nil {
+			t.Fatalf("the next step at once: %+v", c)
+		}
+		now += r.Step
+	}
+	s.Words = down // it hurts, at a half
+	if c := next(); c == nil || c.State.Step != 1 || c.State.Falls != 1 {
+		t.Fatalf("%+v", c)
+	}
+	if c := next(); c == nil || c.State.Step != 0 || c.State.Falls != 2 {
+		t.Fatalf("%+v", c)
+	}
+	s.Words = nil
+	began := now
+	for c := next(); c == nil; c = next() {
+		now += 100 * time.Millisecond
+	}
+	if now-began < 4*r.Hold {
+		t.Errorf("it returns %v after its second fall, and is to be left for %v", now-began, 4*r.Hold)
+	}
+	s.Decided["b"] = State{Step: 0, Pinned: true}
+	now += time.Hour
+	if c := next(); c != nil {
+		t.Errorf("an operator has pinned it: %+v", c)
+	}
+}
+
+// TestParts: whatever the zone's size, each step has the servers of the one before, the first has one at least, the last all, and the share is
+// never above the step's by more than one server.
+func TestParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "servers")
+		var list []Server
+		for i := range n {
+			list = append(list, Server{fmt.Sprint("s", i), "z"})
+		}
+		list = append(list, Server{"other", "y"})
+		before := n + 1
+		for step := 0; step <= Steps; step++ {
+			avoided := Avoided(list, map[string]State{"z": {Step: step}})
+			if avoided["other"] {
+				t.Fatal("a server of another zone")
+			}
+			used := n - len(avoided)
+			if step == 0 && used != 0 || step > 0 && used == 0 || step == Steps && used != n || len(avoided) > before || float64(used) > Part(step)*float64(n)+1 {
+				t.Fatalf("step %d of %d servers: %d used", step, n, used)
+			}
+			before = len(avoided)
+		}
+	})
+}
+
+// TestNeverTooMany: for whatever is seen, in whatever order, no more is left than the rules say, and never the last zone.
+func TestNeverTooMany(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := NewKeeper(Usual())
+		s := scene(func(string, int, string, int) bool { return false })
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "later"))
+			s.Words, s.Looks = nil, nil
+			for _, x := range s.Servers {
+				for m := range s.Zones {
+					if rapid.IntRange(0, 2).Draw(t, "silent") == 0 {
+						s.Words = append(s.Words, Word{m, x.Name})
+					}
+				}
+			}
+			for m, z := range s.Zones {
+				s.Looks = append(s.Looks, Look{m, z, rapid.Bool().Draw(t, "answers")})
+			}
+			if c, _ := k.Next(now, s); c != nil {
+				s.Decided[c.Zone] = c.State
+			}
+			used := 0
+			for _, x := range s.Servers {
+				if d, is := s.Decided[x.Zone]; !is || d.Step == Steps {
+					used++
+				}
+			}
+			if float64(used) < Usual().Least*float64(len(s.Servers)) {
+				t.Fatalf("%d of %d servers are wholly in use", used, len(s.Servers))
+			}
+		}
+	})
+}
+
+func TestStateText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := State{rapid.IntRange(0, Steps).Draw(t, "step"), rapid.Bool().Draw(t, "pinned"), rapid.IntRange(0, 9).Draw(t, "falls"), rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "why")}
+		if got, err := Decode(s.Encode()); err != nil || got != s {
+			t.Fatalf("%+v, %v", got, err)
+		}
+	})
+	for _, bad := range []string{"", "1", "9 true 0", "1 perhaps 0", "-1 true 0", "1 true -2"} {
+		if _, err := Decode(bad); err == nil {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -1,5 +1,10 @@
 package gateway
 
+import (
+	"maps"
+	"slices"
+)
+
 // OnSilent has f told of each server that has not answered a pool, each time, and once it answers again. It is called under the pool's lock,
 // and must call neither pool nor gateway. Only the product asks.
 func (g *Gateway) OnSilent(f func(pool, server string, is bool)) { g.silent.Store(&f) }
@@ -25,3 +30,25 @@
 	}
 	return true
 }
+
+// PoolNames are those of all pools, in order.
+func (g *Gateway) PoolNames() []string { return slices.Sorted(maps.Keys(g.table.Load().pools)) }
+
+// Servers are those that a pool's list names ready: zones by name.
+func (g *Gateway) Servers(pool string) map[string]string {
+	m := g.table.Load().pools[pool]
+	if m == nil {
+		return nil
+	}
+	zones := map[string]string{}
+	for _, s := range m.pool.Servers() {
+		zones[s.Name] = s.Zone
+	}
+	return zones
+}
+
+// Look asks a server of a pool whether it answers.
+func (g *Gateway) Look(pool, server string) bool {
+	m := g.table.Load().pools[pool]
+	return m != nil && m.pool.Look(server)
+}
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/gateway"
 	"sorrelrudder/internal/lease"
 	"sorrelrudder/internal/plain"
@@ -36,8 +37,10 @@
 	}
 	c.Tick = t.duration("tick", 100*time.Millisecond, time.Millisecond, 10*time.Second)
 	addresses := map[string]int{}
+	zones := map[string]string{}
 	for _, m := range t.tables("members") {
 		name, address := m.needed("name"), m.needed("address")
+		zones[name] = m.str("zone", "")
 		m.done()
 		if address != "" {
 			r.address(m.at("address"), address, false)
@@ -77,6 +80,22 @@
 			r.bad(k.at("store"), "is that of the council: what is shared needs a file of its own")
 		}
 	}
+	if t.has("zones") {
+		z := t.table("zones")
+		usual := evacuate.Usual()
+		c.Zones = &tier.ZonesConfig{Automatic: z.word("automatic", tier.ZonesAdvise, tier.ZonesOff, tier.ZonesAdvise, tier.ZonesOn), Members: zones, Rules: evacuate.Rules{
+			Down: z.number("down", usual.Down, 0.01, 1), Others: z.number("others", usual.Others, 0, 1), Least: z.number("least", usual.Least, 0, 0.99),
+			Step: z.duration("step", usual.Step, 100*time.Millisecond, time.Hour), Hold: z.duration("hold", usual.Hold, 100*time.Millisecond, time.Hour),
+			Most: z.duration("hold_most", usual.Most, 100*time.Millisecond, 24*time.Hour), Looks: int(z.whole("looks", int64(usual.Looks), 1, 5)),
+		}}
+		z.done()
+		if c.Copies == nil {
+			r.bad(z.n, "needs [tier.copies]: what members see of servers is what it goes by")
+		}
+		if err := c.Zones.Check(); err != nil {
+			r.bad(z.n, "%v", err)
+		}
+	}
 	most := int(t.whole("tasks_at_once", 0, 0, task.MostTasks))
 	t.done()
 	if c.Name != "" && c.Members[c.Name] == "" {
--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -71,3 +71,32 @@
 	}
 	return s
 }
+
+// Listed is a server that the list names ready.
+type Listed struct{ Name, Zone string }
+
+// Servers are those that the list names ready, whether they are avoided or not, in no order.
+func (p *Pool) Servers() []Listed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]Listed, 0, len(p.entries))
+	for _, e := range p.entries {
+		if source.States[e.Health] == policy.Ready {
+			all = append(all, Listed{e.Host, e.Site})
+		}
+	}
+	return all
+}
+
+// Look asks a server that is avoided whether it answers, as a probe does. The module hears nothing of it.
+func (p *Pool) Look(server string) bool {
+	p.mu.Lock()
+	to := p.peers[policy.ServerID(server)]
+	closed := p.closed
+	p.mu.Unlock()
+	if to == nil || closed {
+		return false
+	}
+	status, _ := p.probe(to)
+	return status == policy.OK
+}
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/replica"
 )
 
@@ -29,6 +30,9 @@
 	OnSilent(f func(pool, server string, is bool))
 	Hint(pool, server string)
 	Avoid(pool string, servers map[string]bool) (done bool)
+	PoolNames() []string
+	Servers(pool string) (zones map[string]string) // by the server's name
+	Look(pool, server string) (answers bool)
 }
 
 const (
@@ -63,6 +67,9 @@
 	kept     map[string]bool            // pools whose orders can't be carried out: no ready server would be left
 	loaded   int
 	hinted   int
+	zones    zones
+	looked   map[string]bool // keys of looks that are written
+	turns    int
 	toldAt   time.Duration
 	frames   int64 // sent until toldAt
 	bytes    int64
@@ -80,7 +87,7 @@
 	}
 	cfg := replica.Usual()
 	cfg.Name, cfg.Members = t.cfg.Name, slices.Sorted(maps.Keys(t.cfg.Members))
-	cfg.Kinds, cfg.Decided = []string{replica.DeadKind}, []string{council.OrderKind}
+	cfg.Kinds, cfg.Decided = []string{replica.DeadKind, lookKind}, council.DecidedKinds
 	cfg.Gossip, cfg.Probe, cfg.Sync, cfg.Keep, cfg.Fanout, cfg.Budget = c.Gossip, c.Probe, c.Sync, c.Keep, c.Fanout, c.Budget
 	h := fnv.New64a()
 	h.Write([]byte(t.keeper.Start()))
@@ -89,6 +96,7 @@
 	k := &copies{
 		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), whole: -1,
 		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
+		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}}, looked: map[string]bool{},
 		hints: map[string]bool{}, due: map[string]map[string]bool{}, saveAt: now + saveEvery,
 	}
 	if err := k.load(now, t.cfg.Name); err != nil {
@@ -109,6 +117,10 @@
 	t.copies = k
 	if k.pools != nil {
 		t.done.Go(t.carry)
+		t.done.Go(t.watchZones)
+		if t.cfg.Zones != nil && t.cfg.Zones.Automatic != ZonesOff {
+			t.keeper.Want(zonesLease, 1)
+		}
 	}
 	return nil
 }
@@ -127,6 +139,7 @@
 	}
 	t.say(k.node.Tick(now))
 	t.heed(now)
+	t.judge(now)
 	if k.cfg.Figures > 0 && now >= k.toldAt+k.cfg.Figures {
 		t.tellCopies(now)
 	}
@@ -181,7 +194,7 @@
 	}
 	changed := k.node.Copies().Changed()
 	for _, p := range changed {
-		k.ordered = k.ordered || replica.KindOf(p.Key()) == council.OrderKind
+		k.ordered = k.ordered || p.Owner() == replica.Council
 	}
 	k.evidence.Look(now, k.node, changed)
 	if k.pools == nil || now < k.hintAt {
@@ -242,9 +255,15 @@
 		}
 		return true
 	})
-	out := maps.Clone(next)
+	k.addZones(next)
+	out := map[string]map[string]bool{}
+	for pool, servers := range next {
+		if !maps.Equal(servers, k.avoiding[pool]) {
+			out[pool] = servers
+		}
+	}
 	for pool := range k.avoiding {
-		if out[pool] == nil {
+		if next[pool] == nil {
 			out[pool] = map[string]bool{}
 		}
 	}
@@ -310,7 +329,7 @@
 
 // decidedAt takes the council's word, asked for at that moment, of how far it has come: who has the same sum has all that was decided before.
 func (t *Tier) decidedAt(at time.Duration, d *council.Decided) {
-	if k := t.copies; k != nil && d != nil && k.node.Copies().Sum(council.OrderKind) == d.Sum {
+	if k := t.copies; k != nil && d != nil && k.node.Copies().Sum(council.OrderKind)+k.node.Copies().Sum(council.ZoneKind) == d.Sum {
 		k.whole = max(k.whole, at)
 	}
 }
@@ -333,6 +352,7 @@
 	Hints       []string          `json:"hints,omitempty"`           // servers that are hinted at now
 	Kept        []string          `json:"not_carried_out,omitempty"` // pools whose orders would leave no server
 	Hinted      int               `json:"hinted"`                    // hints given so far
+	Zones       []ZoneStatus      `json:"zones,omitempty"`
 	Sums        map[string]uint64 `json:"sums"`
 	Figures     replica.Figures   `json:"figures"`
 	Refused     replica.Counts    `json:"refused"`
@@ -366,7 +386,8 @@
 	for name := range t.cfg.Members {
 		s.Members[name] = k.node.Member(name).State.String()
 	}
-	for _, kind := range []string{replica.DeadKind, council.OrderKind} {
+	s.Zones = k.zonesStatus()
+	for _, kind := range append([]string{replica.DeadKind, lookKind}, council.DecidedKinds...) {
 		s.Sums[kind] = k.node.Copies().Sum(kind)
 	}
 	for pool, kept := range k.kept {
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
@@ -10,6 +11,7 @@
 	"time"
 
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/replica"
 )
 
@@ -21,6 +23,8 @@
 	hints  map[string]int
 	avoid  map[string]bool
 	refuse bool // the orders would leave no server
+	zones  map[string]string
+	down   map[string]bool // zones
 }
 
 func newFarm() *farmPools { return &farmPools{hints: map[string]int{}} }
@@ -44,6 +48,20 @@
 	return !f.refuse
 }
 
+func (f *farmPools) PoolNames() []string { return []string{"farm"} }
+
+func (f *farmPools) Servers(string) map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.zones)
+}
+
+func (f *farmPools) Look(_, server string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.down[f.zones[server]]
+}
+
 func (f *farmPools) sees(server string, silent bool) {
 	f.mu.Lock()
 	s := f.silent
@@ -177,7 +195,7 @@
 	k := &copies{cfg: CopiesConfig{Store: file}}
 	fresh := func() {
 		cfg := replica.Usual()
-		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, []string{council.OrderKind}
+		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, council.DecidedKinds
 		k.node = replica.New(0, cfg)
 	}
 	fresh()
@@ -231,10 +249,99 @@
 			t.Fatal(err)
 		}
 		cfg := replica.Usual()
-		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, []string{council.OrderKind}
+		cfg.Name, cfg.Members, cfg.Kinds, cfg.Decided = "p", []string{"p", "q"}, []string{replica.DeadKind}, council.DecidedKinds
 		k := &copies{cfg: CopiesConfig{Store: file}, node: replica.New(0, cfg)}
 		if err := k.load(0, "p"); err != nil {
 			t.Fatal(err)
 		}
 	})
 }
+
+// TestZoneLeft: a zone whose servers are silent to members of two zones is left by all, once, by what one decides; it is returned to step by step
+// once it answers, and an operator's word holds against that.
+func TestZoneLeft(t *testing.T) {
+	cfgs := sharing(t, 3)
+	zones := map[string]string{}
+	for i, cfg := range cfgs {
+		zones[cfg.Name] = string(rune('a' + i))
+	}
+	rules := evacuate.Usual()
+	rules.Step, rules.Hold = 100*time.Millisecond, 100*time.Millisecond
+	var farms []*farmPools
+	var all []*Tier
+	for i := range cfgs {
+		cfgs[i].Zones = &ZonesConfig{Automatic: ZonesOn, Rules: rules, Members: zones}
+		f := newFarm()
+		f.zones, f.down = map[string]string{}, map[string]bool{}
+		for _, z := range []string{"a", "b", "c"} {
+			for n := range 4 {
+				f.zones[fmt.Sprint(z, n)] = z
+			}
+		}
+		farms = append(farms, f)
+		all = append(all, start(t, cfgs[i], f))
+	}
+	defer func() {
+		for _, tr := range all {
+			tr.Close()
+		}
+	}()
+	avoided := func(n int) func() bool {
+		return func() bool {
+			for _, f := range farms {
+				f.mu.Lock()
+				has := len(f.avoid)
+				f.mu.Unlock()
+				if has != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "all are there to each other", func() bool {
+		return state(t, all[0], cfgs[0]).InStepMs >= 0 && len(state(t, all[0], cfgs[0]).Zones) == 3
+	})
+	for _, f := range farms {
+		f.mu.Lock()
+		f.down["b"] = true
+		f.mu.Unlock()
+	}
+	for _, f := range farms[:2] {
+		for n := range 4 {
+			f.sees(fmt.Sprint("b", n), true)
+		}
+	}
+	eventually(t, "all have left it", avoided(4))
+	for _, f := range farms[:2] {
+		for n := range 4 {
+			f.sees(fmt.Sprint("b", n), false)
+		}
+	}
+	epoch := state(t, all[0], cfgs[0]).Zones[1].Epoch
+	for _, f := range farms {
+		f.mu.Lock()
+		f.down["b"] = false
+		f.mu.Unlock()
+	}
+	steps := map[int]bool{}
+	eventually(t, "all use it wholly again", func() bool {
+		for i, tr := range all {
+			z := state(t, tr, cfgs[i]).Zones[1]
+			steps[z.Step] = true
+			if z.Epoch < epoch {
+				t.Errorf("the epoch goes back from %d to %d", epoch, z.Epoch)
+			}
+		}
+		return avoided(0)()
+	})
+	if !steps[1] && !steps[2] && !steps[3] {
+		t.Errorf("it was returned to at once: steps %v", steps)
+	}
+	key := replica.ServerKey(council.ZoneKind, "farm", "c")
+	order(t, all[0], cfgs[0], council.OrderCommand{Key: key, Value: evacuate.State{Pinned: true, Why: "an operator"}.Encode()})
+	eventually(t, "all leave it by order", avoided(4))
+	if r := order(t, all[0], cfgs[0], council.OrderCommand{Key: key, Value: evacuate.State{Step: 1}.Encode(), Token: 1, After: 1}); r.Why == "" {
+		t.Error("a holder that has not heard of the operator's word decides against it")
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -36,6 +36,7 @@
 	Tick    time.Duration // of the council: a leader that is silent for ten is replaced
 	Tasks   []Task
 	Copies  *CopiesConfig // nil: the process shares no state with others
+	Zones   *ZonesConfig  // nil: no zone is left by itself
 }
 
 // Task is work that is done once for the whole fleet.
