--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -300,7 +300,7 @@
 			change = &Change{zone, State{Step: 0, Falls: d.Falls, Why: string(Down)}}
 		case causes[zone] == Down && d.Step > 0: // it hurts: back, and the next time later
 			change = &Change{zone, State{Step: max(0, d.Step-2), Falls: d.Falls + 1, Why: "a step hurt: " + string(Down)}}
-		case d.Step == 0 && waited >= k.hold(d.Falls) && k.answers(s, zone):
+		case d.Step == 0 && causes[zone] == Well && waited >= k.hold(d.Falls) && k.answers(s, zone): // no word of before is left either
 			change = &Change{zone, State{Step: 1, Falls: d.Falls, Why: "it answers again"}}
 		case d.Step > 0 && d.Step < Steps && waited >= k.rules.Step && k.answers(s, zone):
 			next := State{Step: d.Step + 1, Falls: d.Falls, Why: "a step was borne"}
--- a/internal/evacuate/evacuate_test.go
+++ b/internal/evacuate/evacuate_test.go
@@ -99,6 +99,11 @@
 		t.Fatalf("one gets no answer: %+v", c)
 	}
 	s.Looks[2].Answers = true
+	s.Words = down
+	if c := next(); c != nil {
+		t.Fatalf("words of before still stand: %+v", c)
+	}
+	s.Words = nil
 	for step := 1; step <= 3; step++ {
 		if c := next(); c == nil || c.State.Step != step {
 			t.Fatalf("step %d: %+v", step, c)
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -45,6 +45,9 @@
 	var b strings.Builder
 	for _, box := range boxes {
 		fmt.Fprintf(&b, "[[pools.%s.servers]]\nname = %q\naddress = %q\n", pool, box.Name(), box.Addr())
+		if box.Zone() != "" {
+			fmt.Fprintf(&b, "zone = %q\n", box.Zone())
+		}
 	}
 	return b.String()
 }
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -39,6 +39,7 @@
 	more              string                     // further keys of [tier]
 	copies            string                     // keys of [tier.copies]; empty: no state is shared
 	nboxes            int                        // 0: three
+	zone              func(i int) string         // of a process, or nil
 	dealt             bool                       // each process chooses among servers of its own
 	ledger            *standin.Ledger            // of clients, or nil
 	lies              func(i int) string         // what a process says is dead though it is not, or nil
@@ -179,6 +180,9 @@
 		reports = standin.NoReports
 	}
 	pool := plainPool(reports, p.f.boxes)
+	if p.f.cfg.zone != nil {
+		pool = strings.Replace(pool, "[pools.farm]\n", fmt.Sprintf("[pools.farm]\nzone = %q\n", p.f.cfg.zone(p.i)), 1)
+	}
 	if p.f.cfg.dealt { // each chooses among servers of its own
 		pool = strings.Replace(pool, "[pools.farm]\n", fmt.Sprintf("[pools.farm]\ninstances = %d\ninstance = %d\n", len(p.f.procs), p.i), 1)
 	}
@@ -202,6 +206,9 @@
 			addr = p.f.links[[2]int{p.i, q.i}].Addr()
 		}
 		fmt.Fprintf(&b, "[[tier.members]]\nname = %q\naddress = %q\n", q.name, addr)
+		if p.f.cfg.zone != nil {
+			fmt.Fprintf(&b, "zone = %q\n", p.f.cfg.zone(q.i))
+		}
 	}
 	if p.f.cfg.copies != "" {
 		fmt.Fprintf(&b, "[tier.copies]\n%s", strings.ReplaceAll(p.f.cfg.copies, "DIR/NAME", filepath.Join(p.f.dir, p.name)))
--- /dev/null
+++ b/internal/lab/zone.go
@@ -0,0 +1,311 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"sorrelrudder/internal/standin"
+)
+
+func init() {
+	Register(Scenario{
+		Name: "zone-leave", Duration: 24 * time.Second, Run: zoneLeave,
+		Summary: "a zone of three is lost for five seconds in the rush and returns cold: left as a fleet, and each process alone, on the same seed",
+	})
+	Register(Scenario{
+		Name: "zone-torn", Duration: 16 * time.Second, Run: zoneTorn,
+		Summary: "what only looks like a lost zone: half of its servers dead, servers of all zones dead alike, members that are cut off: nothing is left",
+	})
+	Register(Scenario{
+		Name: "zone-blind", Duration: 16 * time.Second, Run: zoneBlind,
+		Summary: "the council has no majority when a zone goes: each goes on by its own eyes, and it is left once there is one; an operator's word holds",
+	})
+}
+
+var labZones = []string{"a", "b", "c"}
+
+const (
+	zoneBoxes     = 9
+	zoneProcesses = 12
+	zoneStep      = "[tier.zones]\nautomatic = \"on\"\nstep = \"1s\"\nhold = \"1s\"\n"
+)
+
+// zoneFleet starts twelve processes in three zones, with three boxes in each, which are cold at their start.
+func (e *Env) zoneFleet(ctx context.Context, ledger *standin.Ledger, zones bool, voters int) (*fleet, error) {
+	n := 0
+	cfg := fleetConfig{
+		processes: zoneProcesses, voters: voters, nboxes: zoneBoxes, ledger: ledger, dealt: true, copies: usualCopies,
+		zone: func(i int) string { return labZones[i%3] },
+		box: func(b *standin.BoxConfig) {
+			b.Zone = labZones[n%3]
+			b.Service, b.Cores, b.Queue = 40*time.Millisecond, 2, 200
+			n++
+		},
+	}
+	if zones {
+		cfg.copies += zoneStep
+	} else {
+		cfg.copies = "" // each for itself
+	}
+	f, err := e.startFleet(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if !zones {
+		for _, p := range f.procs {
+			if err := p.ready(ctx); err != nil {
+				return nil, err
+			}
+		}
+		return f, nil
+	}
+	return f, f.await(ctx, 20*time.Second, "all are there to each other", func() bool {
+		got := f.all(f.procs)
+		for _, s := range got {
+			for _, state := range s.Members {
+				if state != "alive" {
+					return false
+				}
+			}
+		}
+		return len(got) == len(f.procs)
+	})
+}
+
+// inZone are the boxes of a zone.
+func (f *fleet) inZone(zone string) (all []*standin.Box) {
+	for _, b := range f.boxes {
+		if b.Zone() == zone {
+			all = append(all, b)
+		}
+	}
+	return all
+}
+
+// followed is when each process has carried out that so many servers are avoided, after a moment; one that has not is left out.
+func (f *fleet) followed(avoided int, after time.Time) (at []time.Time) {
+	for _, p := range f.procs {
+		for _, line := range p.prog.Lines() {
+			if Field(line, "msg") != "orders are carried out" || !stamp(line).After(after) {
+				continue
+			}
+			if n := len(strings.Fields(strings.Trim(Field(line, "avoided"), "[]"))); n == avoided {
+				at = append(at, stamp(line))
+				break
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
+
+// wronglyLeft is how many processes have ever avoided anything.
+func (f *fleet) wronglyLeft() (n int) {
+	for _, p := range f.procs {
+		if p.prog.Count("a zone is decided") > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func zoneLeave(ctx context.Context, e *Env) error {
+	type outcome struct {
+		lost   int64
+		served float64
+	}
+	results := map[bool]outcome{}
+	for _, together := range []bool{false, true} {
+		ledger := standin.NewLedger()
+		f, err := e.zoneFleet(ctx, ledger, together, 3)
+		if err != nil {
+			return err
+		}
+		name := "alone"
+		if together {
+			name = "together"
+		}
+		length := e.Duration / 2
+		e.Phase("a zone is lost, and returns cold, "+name, length)
+		load, cancel := context.WithTimeout(ctx, length)
+		var lost, back time.Time
+		went := make(chan struct{})
+		go func() {
+			defer close(went)
+			pause(load, 2*time.Second)
+			f.note("zone b is lost")
+			lost = time.Now()
+			for _, b := range f.inZone("b") {
+				b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+			}
+			pause(load, 5*time.Second)
+			f.note("zone b is back, cold")
+			back = time.Now()
+			for _, b := range f.inZone("b") {
+				b.Chill()
+				b.SetFault(standin.Fault{})
+			}
+			<-load.Done()
+		}()
+		crowd := f.crowds(load, name, 9, ledger)
+		cancel()
+		<-went
+		sent := int64(0)
+		for _, b := range f.boxes {
+			sent += b.Lost()
+		}
+		results[together] = outcome{sent, crowd.Share()}
+		e.crowd(name+"_", crowd)
+		if together {
+			left := f.followed(3, lost)
+			if len(left) < len(f.procs) {
+				e.Broken("%d of %d processes have left the zone", len(left), len(f.procs))
+			}
+			if len(left) > 0 {
+				e.AtMost("left_s", left[len(left)-1].Sub(lost).Seconds(), 4)
+				e.AtMost("apart_s", left[len(left)-1].Sub(left[0]).Seconds(), 1)
+			}
+			if err := f.await(ctx, 20*time.Second, "all use the zone again", func() bool { return len(f.followed(0, back)) == len(f.procs) }); err != nil {
+				return err
+			}
+			all := f.followed(0, back)
+			e.Measure("returned_s", all[len(all)-1].Sub(back).Seconds())
+			decided := 0
+			for _, p := range f.procs {
+				decided += p.prog.Count("a zone is decided")
+			}
+			e.Measure("epochs", float64(decided))
+		}
+		f.stop()
+		v := e.Rules(ledger)
+		e.AtLeast(name+"_answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+		e.AtMost(name+"_duplicates", float64(v.Doubled), 0)
+	}
+	e.Measure("dead_sends_alone", float64(results[false].lost))
+	e.Measure("dead_sends", float64(results[true].lost))
+	e.Measure("served_alone", results[false].served)
+	e.AtLeast("served", results[true].served, results[false].served-0.01)
+	return nil
+}
+
+func zoneTorn(ctx context.Context, e *Env) error {
+	ledger := standin.NewLedger()
+	f, err := e.zoneFleet(ctx, ledger, true, 3)
+	if err != nil {
+		return err
+	}
+	load, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crowd := make(chan *standin.Crowd, 1)
+	go func() { crowd <- f.crowds(load, "farm", 6, ledger) }()
+	part := e.Duration / 4
+	dead := func(boxes ...*standin.Box) (mend func()) {
+		for _, b := range boxes {
+			b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+		}
+		return func() {
+			for _, b := range boxes {
+				b.SetFault(standin.Fault{})
+			}
+		}
+	}
+	e.Phase("one of a zone's three servers", part)
+	mend := dead(f.inZone("b")[0])
+	pause(ctx, part)
+	mend()
+	e.Phase("a server of each zone, as a bad release", part)
+	mend = dead(f.inZone("a")[0], f.inZone("b")[0], f.inZone("c")[0])
+	pause(ctx, part)
+	mend()
+	e.Phase("members that are cut off", part)
+	mend = f.each(func(a, b int) bool { return a%3 == 1 || b%3 == 1 }, func(w *standin.Way) { w.Cut = true }, func(w *standin.Way) { w.Cut = false })
+	pause(ctx, part)
+	mend()
+	e.Phase("errors of one in eight", part)
+	for _, b := range f.inZone("c") {
+		b.SetFault(standin.Fault{Kind: standin.Error, Share: 0.125})
+	}
+	pause(ctx, part)
+	cancel()
+	c := <-crowd
+	e.AtMost("wrongly_left", float64(f.wronglyLeft()), 0)
+	e.crowd("", c)
+	e.Measure("served", c.Share())
+	f.stop()
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
+
+func zoneBlind(ctx context.Context, e *Env) error {
+	ledger := standin.NewLedger()
+	f, err := e.zoneFleet(ctx, ledger, true, 3)
+	if err != nil {
+		return err
+	}
+	load, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crowd := make(chan *standin.Crowd, 1)
+	go func() { crowd <- f.crowds(load, "farm", 6, ledger) }()
+	part := e.Duration / 4
+	e.Phase("no majority, and a zone goes", part)
+	f.note("two of three of the council are killed, and zone b is lost")
+	f.procs[1].end()
+	f.procs[2].end()
+	at := time.Now()
+	for _, b := range f.inZone("b") {
+		b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+	}
+	pause(ctx, part)
+	if n := len(f.followed(3, at)); n > 0 {
+		e.Broken("%d processes have left the zone, though nobody could decide it", n)
+	}
+	e.Phase("the majority is back", part)
+	for _, p := range f.procs[1:3] {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	back := time.Now()
+	if err := f.await(ctx, 20*time.Second, "all have left the zone", func() bool { return len(f.followed(3, at)) == len(f.procs) }); err != nil {
+		return err
+	}
+	e.Measure("left_once_decided_s", time.Since(back).Seconds())
+	e.Phase("an operator's word against an automatic return", part)
+	if out, err := f.cli("tier", "zone", "leave", "farm", "b", f.procs[0].addr, "--secret", f.secret); err != nil {
+		return fmt.Errorf("zone leave: %w: %s", err, out)
+	}
+	for _, b := range f.inZone("b") {
+		b.SetFault(standin.Fault{})
+	}
+	pinned := time.Now()
+	pause(ctx, part)
+	if n := len(f.followed(0, pinned)); n > 0 {
+		e.Broken("%d processes use the zone against an operator's word", n)
+	}
+	if out, err := f.cli("tier", "zone", "return", "farm", "b", f.procs[0].addr, "--secret", f.secret); err == nil {
+		e.Broken("a return in one step was not refused: %s", out)
+	}
+	if out, err := f.cli("tier", "zone", "leave", "farm", "nowhere", f.procs[0].addr, "--secret", f.secret); err == nil {
+		e.Broken("an unknown zone was left: %s", out)
+	}
+	if out, err := f.cli("tier", "zone", "auto", "farm", "b", f.procs[0].addr, "--secret", f.secret); err != nil {
+		return fmt.Errorf("zone auto: %w: %s", err, out)
+	}
+	if err := f.await(ctx, 20*time.Second, "all use the zone again", func() bool { return len(f.followed(0, pinned)) == len(f.procs) }); err != nil {
+		return err
+	}
+	e.Measure("returned_s", time.Since(pinned).Seconds())
+	cancel()
+	c := <-crowd
+	e.crowd("", c)
+	f.stop()
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -98,7 +98,7 @@
 type Box struct {
 	cfg    BoxConfig
 	ln     net.Listener
-	born   time.Time
+	born   atomic.Int64 // in Unix nanoseconds
 	slots  chan struct{}
 	queued atomic.Int64
 	inWork atomic.Int64
@@ -132,17 +132,11 @@
 		cfg.Repeats = NewRepeats(time.Minute)
 	}
 	b := &Box{
-		cfg: cfg, ln: ln, born: time.Now(), slots: make(chan struct{}, cfg.Cores),
+		cfg: cfg, ln: ln, slots: make(chan struct{}, cfg.Cores),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), open: map[net.Conn]struct{}{},
 	}
 	b.fault.Store(&Fault{})
-	if cfg.Ramp > 0 && cfg.Ledger != nil {
-		full := float64(cfg.Cores) / cfg.Service.Seconds()
-		cfg.Ledger.Born(cfg.Name, time.Second, func(age, window time.Duration) float64 {
-			share := min(1, cfg.ColdFrom+(1-cfg.ColdFrom)*float64(age+window)/float64(cfg.Ramp))
-			return 2.5*full*share*window.Seconds() + 5
-		})
-	}
+	b.Chill()
 	b.done.Go(b.accept)
 	return b
 }
@@ -150,6 +144,9 @@
 // Name is the box's name.
 func (b *Box) Name() string { return b.cfg.Name }
 
+// Zone is where it stands.
+func (b *Box) Zone() string { return b.cfg.Zone }
+
 // Addr is where the box listens.
 func (b *Box) Addr() string { return b.ln.Addr().String() }
 
@@ -157,7 +154,7 @@
 func (b *Box) Entry() Entry {
 	e := Entry{Host: b.cfg.Name, Dial: b.Addr(), Site: b.cfg.Zone, Block: b.cfg.Cell, Health: "active", Share: 1}
 	if b.cfg.Ramp > 0 {
-		e.BornMs = b.born.UnixMilli()
+		e.BornMs = b.born.Load() / int64(time.Millisecond)
 	}
 	if b.drains.Load() {
 		e.Health = "leaving"
@@ -171,6 +168,19 @@
 // Drain makes the box turn new requests away, as one that is about to end does.
 func (b *Box) Drain(on bool) { b.drains.Store(on) }
 
+// Chill has it be as cold as at its start.
+func (b *Box) Chill() {
+	cfg := b.cfg
+	b.born.Store(time.Now().UnixNano())
+	if cfg.Ramp > 0 && cfg.Ledger != nil {
+		full := float64(cfg.Cores) / cfg.Service.Seconds()
+		cfg.Ledger.Born(cfg.Name, time.Second, func(age, window time.Duration) float64 {
+			share := min(1, cfg.ColdFrom+(1-cfg.ColdFrom)*float64(age+window)/float64(cfg.Ramp))
+			return 2.5*full*share*window.Seconds() + 5
+		})
+	}
+}
+
 // Lost is how many requests have come while the box was dead.
 func (b *Box) Lost() int64 { return b.lost.Load() }
 
@@ -371,7 +381,7 @@
 	work := func() {
 		share := 1.0
 		if b.cfg.Ramp > 0 {
-			share = min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*float64(time.Since(b.born))/float64(b.cfg.Ramp))
+			share = min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*float64(time.Since(time.Unix(0, b.born.Load())))/float64(b.cfg.Ramp))
 		}
 		time.Sleep(time.Duration((0.5 + draw) * float64(b.cfg.Service) / max(share, 0.01)))
 		if b.cfg.Ledger != nil && effect != Safe {
