Notice within seconds that the other end of a link has vanished without a word

The rig kept such a connection open at its near side and read it to nowhere; and a process did not notice for a minute, since what goes out on a link has its answers elsewhere. The rig closes it; and a dialler that sends asks each second and gives a connection up after 3 s without a word (TestVanishedEnd, seen to fail). A historian that looked twice at once noted what came back: one look at a time.

--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -100,23 +100,25 @@
 // historian remembers what each start of each process has shown of each entry, and counts what must not be: a version that goes back, and an
 // entry that was gone and is there again as it was. It knows nothing of how copies are merged.
 type historian struct {
-	f         *fleet
-	mu        sync.Mutex
-	newest    map[string][2]uint64 // by process, start, owner and key
-	was       map[string]bool      // there at the last look
-	back      int
-	again     int
-	first     string
-	looks     int
-	decidedTo map[string]uint64
+	f      *fleet
+	one    sync.Mutex
+	mu     sync.Mutex
+	newest map[string][2]uint64 // by process, start, owner and key
+	was    map[string]bool      // there at the last look
+	back   int
+	again  int
+	first  string
+	looks  int
 }
 
 func newHistorian(f *fleet) *historian {
-	return &historian{f: f, newest: map[string][2]uint64{}, was: map[string]bool{}, decidedTo: map[string]uint64{}}
+	return &historian{f: f, newest: map[string][2]uint64{}, was: map[string]bool{}}
 }
 
-// look looks at all processes once.
+// look looks at all processes once. One look is over before the next begins: else what one has seen earlier could be noted later.
 func (h *historian) look() map[int]copiesState {
+	h.one.Lock()
+	defer h.one.Unlock()
 	starts := map[int]int{}
 	for _, p := range h.f.procs {
 		p.mu.Lock()
--- a/internal/standin/wirelink.go
+++ b/internal/standin/wirelink.go
@@ -157,6 +157,7 @@
 		defer to.Close()
 		defer from.Close()
 		l.write(to, queue, way)
+		from.Close()
 		for range queue { // the reader ends soon: its connection is closed
 		}
 	})
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -345,3 +346,62 @@
 		t.Error("a holder that has not heard of the operator's word decides against it")
 	}
 }
+
+// TestVanishedEnd: the other end of a link vanishes without a word, and its connection stays open and swallows what is sent: the link is made
+// anew within seconds, not after a minute of silence.
+func TestVanishedEnd(t *testing.T) {
+	secret := []byte("0123456789abcdef")
+	ln, err := net.Listen("tcp", freeAddr(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	got := make(chan int, 64) // the number of the connection on which a frame came
+	var open sync.WaitGroup
+	open.Go(func() {
+		for n := 1; ; n++ {
+			raw, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Go(func() {
+				defer raw.Close()
+				c, err := accept(raw, secret, hello{Name: "q"}, func(hello) error { return nil })
+				if err != nil {
+					return
+				}
+				for {
+					kind, _, err := c.read(mostFrame)
+					if err != nil {
+						return
+					}
+					if kind == kindGossip {
+						got <- n
+					}
+					if kind == kindPing && n > 1 { // the first connection is one whose end has vanished
+						c.write(kindPong, nil)
+					}
+				}
+			})
+		}
+	})
+	l := newLink(ln.Addr().String(), secret, func() hello { return hello{Name: "p", To: "q"} }, func(*conn, byte, []byte) {}, func(error) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	open.Go(func() { l.run(ctx) })
+	began := time.Now()
+	eventually(t, "frames come by another connection", func() bool {
+		l.send(kindGossip, nil)
+		select {
+		case n := <-got:
+			return n > 1
+		default:
+			return false
+		}
+	})
+	if took := time.Since(began); took > idleTime/2 {
+		t.Errorf("only after %v", took)
+	}
+	cancel()
+	ln.Close()
+	open.Wait()
+}
--- a/internal/tier/link.go
+++ b/internal/tier/link.go
@@ -28,6 +28,8 @@
 	kindAnswer = 'A' // its answer
 	kindWake   = 'W' // your leases have changed
 	kindGossip = 'G' // about shared state
+	kindPing   = 'P' // is there still somebody at the other end?
+	kindPong   = 'O' // yes
 )
 
 const (
@@ -39,6 +41,10 @@
 	idleTime   = time.Minute // without a frame a connection is closed
 	queueLen   = 512         // frames of a link that wait; more are dropped, as on a network
 	mostInward = 2048        // connections of others
+	// pingEvery is how often a dialler that sends asks whether the other end is still there, silence how long it waits for a word then. What
+	// goes out on a link has its answers elsewhere, so that one whose other end has vanished without a word would else swallow all for a minute.
+	pingEvery = time.Second
+	silence   = 3 * time.Second
 )
 
 var (
@@ -54,6 +60,7 @@
 	To      string `json:"to,omitempty"`
 	Fleet   string `json:"fleet,omitempty"`
 	Nonce   []byte `json:"nonce"`
+	Pong    bool   `json:"pong,omitempty"` // it answers pings
 }
 
 const helloVersion = 1
@@ -214,7 +221,7 @@
 		return nil, err
 	}
 	c.peer = h
-	me.Version, me.Nonce = helloVersion, nonce()
+	me.Version, me.Nonce, me.Pong = helloVersion, nonce(), true
 	if err := c.hello(key(secret, []byte("answer"), h.Nonce), me); err != nil {
 		return nil, err
 	}
@@ -307,6 +314,7 @@
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	broken := make(chan struct{})
+	var heard atomic.Int64
 	go func() {
 		defer close(broken)
 		defer c.Close()
@@ -316,20 +324,40 @@
 			if err != nil {
 				return
 			}
+			heard.Add(1)
 			l.take(c, kind, payload)
 		}
 	}()
 	defer func() { <-broken }()
 	defer c.Close()
-	for f := first; ; {
-		if err := c.write(f.kind, f.payload); err != nil {
-			l.told(err)
-			return
-		}
+	ping := time.NewTicker(pingEvery)
+	defer ping.Stop()
+	sent := true                  // something, since the last ping
+	waits, had := false, int64(0) // for a word, since when so much was heard
+	if err := c.write(first.kind, first.payload); err != nil {
+		l.told(err)
+		return
+	}
+	for {
+		var f frame
 		select {
 		case <-broken:
 			return
 		case f = <-l.queue:
+			sent = true
+		case <-ping.C:
+			if !sent || !c.peer.Pong {
+				continue
+			}
+			sent, f = false, frame{kind: kindPing}
+			if n := heard.Load(); !waits || n != had { // a further ping must not put off the end of the first
+				waits, had = true, n
+				c.SetReadDeadline(time.Now().Add(silence))
+			}
+		}
+		if err := c.write(f.kind, f.payload); err != nil {
+			l.told(err)
+			return
 		}
 	}
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -691,6 +691,10 @@
 			return
 		}
 		t.answered(a.Handle, a.Response)
+	case kindPing:
+		if c.write(kindPong, nil) != nil {
+			c.Close()
+		}
 	case kindGossip:
 		t.hearCopies(c.peer.Name, payload)
 	case kindWake:
