--- a/internal/opfile/tier_test.go
+++ b/internal/opfile/tier_test.go
@@ -84,6 +84,10 @@
 		"hasty probe":        {"[[tasks]]", "[tier.copies]\nprobe = \"100ms\"\n[[tasks]]", "tier.copies.probe: is 100ms, below two rounds"},
 		"no witness":         {"[[tasks]]", "[tier.copies]\nwitnesses = 0\n[[tasks]]", "tier.copies.witnesses: is 0, outside 1 to 100"},
 		"one file for two":   {"[[tasks]]", "[tier.copies]\nstore = \"a.db\"\n[[tasks]]", "tier.copies.store: is that of the council"},
+		"zones alone":        {"[[tasks]]", "[tier.zones]\n[[tasks]]", "tier.zones: needs [tier.copies]"},
+		"members' zones":     {"[[tasks]]", "[tier.copies]\n[tier.zones]\n[[tasks]]", "the zones of a, b, c are not told"},
+		"odd judge":          {"[[tasks]]", "[tier.copies]\n[tier.zones]\nothers = 0.9\n[[tasks]]", "which is not below the 0.6"},
+		"not automatic":      {"[[tasks]]", "[tier.copies]\n[tier.zones]\nautomatic = \"perhaps\"\n[[tasks]]", "tier.zones.automatic"},
 		"tasks alone":        {tierFile[strings.Index(tierFile, "[tier]"):strings.Index(tierFile, "[[tasks]]")], "", "tasks: are done once for a fleet"},
 	} {
 		text := strings.Replace(tierFile, c.from, c.to, 1)
