--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -25,6 +25,13 @@
 	})
 }
 
+func init() {
+	Register(Scenario{
+		Name: "zone-flap", Duration: 30 * time.Second, Run: zoneFlap,
+		Summary: "a zone goes and comes every three seconds: it is left, and each return that hurts is followed by a longer hold",
+	})
+}
+
 var labZones = []string{"a", "b", "c"}
 
 const (
@@ -309,3 +316,49 @@
 	e.AtMost("duplicates", float64(v.Doubled), 0)
 	return nil
 }
+
+func zoneFlap(ctx context.Context, e *Env) error {
+	ledger := standin.NewLedger()
+	f, err := e.zoneFleet(ctx, ledger, true, 3)
+	if err != nil {
+		return err
+	}
+	load, cancel := context.WithTimeout(ctx, e.Duration)
+	defer cancel()
+	crowd := make(chan *standin.Crowd, 1)
+	go func() { crowd <- f.crowds(load, "farm", 6, ledger) }()
+	e.Phase("the zone goes and comes", e.Duration)
+	at := time.Now()
+	for pause(load, 1500*time.Millisecond) {
+		for _, b := range f.inZone("b") {
+			b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+		}
+		pause(load, 1500*time.Millisecond)
+		for _, b := range f.inZone("b") {
+			b.Chill()
+			b.SetFault(standin.Fault{})
+		}
+	}
+	c := <-crowd
+	if n := len(f.followed(3, at)); n < len(f.procs) {
+		e.Broken("%d of %d processes have ever left the zone", n, len(f.procs))
+	}
+	decided := 0
+	for _, p := range f.procs {
+		decided += p.prog.Count("a zone is decided")
+	}
+	// Leaving, and for each return two decisions at least; returns come after holds of 1, 2, 4, 8 s and more.
+	e.AtMost("epochs", float64(decided), 16)
+	sent := int64(0)
+	for _, b := range f.boxes {
+		sent += b.Lost()
+	}
+	e.Measure("dead_sends", float64(sent))
+	e.crowd("", c)
+	e.Measure("served", c.Share())
+	f.stop()
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
