--- a/internal/lab/tiercost.go
+++ b/internal/lab/tiercost.go
@@ -12,16 +12,16 @@
 func init() {
 	Register(Scenario{
 		Name: "tier-cost", Duration: 24 * time.Second, Run: tierCost,
-		Summary: "processor time a request of a process in a fleet of three, and of one alone, in turn",
+		Summary: "processor time a request of a process that leads a fleet of three and shares state with it, at the usual times, and of one alone, in turn",
 	})
 }
 
 // tierRounds is how often the two are measured in turn.
 const tierRounds = 6
 
-// tierCost compares a process that leads a fleet's council and holds its task's lease, a slot a second, with one that knows no others.
+// tierCost compares a process that leads a fleet's council and holds its task's lease, a slot a second, and shares state, with one that knows no others.
 func tierCost(ctx context.Context, e *Env) error {
-	f, err := e.startFleet(ctx, fleetConfig{processes: 3, voters: 3, tasks: taskTOML("sweep", "/delivery-order/sweep", "1s", "")})
+	f, err := e.startFleet(ctx, fleetConfig{processes: 3, voters: 3, tick: 100 * time.Millisecond, copies: "witnesses = 2\n", tasks: taskTOML("sweep", "/delivery-order/sweep", "1s", "")})
 	if err != nil {
 		return err
 	}
@@ -78,16 +78,20 @@
 	e.Measure("ratio_least", ratios[0])
 	e.Measure("ratio_median", (ratios[(tierRounds-1)/2]+ratios[tierRounds/2])/2)
 	e.Measure("ratio_most", ratios[tierRounds-1])
-	rest, err := leader.CPU()
-	if err != nil {
-		return err
+	rest := map[*Program]time.Duration{}
+	for _, p := range []*Program{leader, alone} {
+		if rest[p], err = p.CPU(); err != nil {
+			return err
+		}
 	}
-	pause(ctx, part)
-	now, err := leader.CPU()
-	if err != nil {
-		return err
+	pause(ctx, 2*part)
+	for name, p := range map[string]*Program{"cores_at_rest": leader, "cores_at_rest_alone": alone} {
+		now, err := p.CPU()
+		if err != nil {
+			return err
+		}
+		e.Measure(name, (now-rest[p]).Seconds()/(2*part).Seconds())
 	}
-	e.Measure("cores_at_rest", (now-rest).Seconds()/part.Seconds())
 	memory, err := leader.MemoryMB()
 	if err != nil {
 		return err
