One piece for an entry's content, an operator's asks of one process, and the ages of copies

Read once more: the content of an entry was encoded in two places, three asks of operators differed in one field, and the log and tier state reckoned the same two ages. InUse took a name that it did not read, and a comment told of a result that there is not. Behaviour is as it was: tests of replica, tier, evacuate, explore and opfile pass.

--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -96,8 +96,9 @@
 // Server is one that a pool's list names ready.
 type Server struct{ Name, Zone string }
 
-// InUse reports whether a server of a zone is in use at a step. All processes draw the same ones, and each step has those of the one before.
-func InUse(server string, rank, of, step int) bool {
+// inUse reports whether the server of that rank among a zone's is in use at a step. All processes rank alike, and each step has those of the
+// one before.
+func inUse(rank, of, step int) bool {
 	return float64(rank) < Part(step)*float64(of) || step > 0 && rank == 0 || step >= Steps
 }
 
@@ -116,7 +117,7 @@
 		}
 		slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b)) })
 		for rank, name := range names {
-			if !InUse(name, rank, len(names), s.Step) {
+			if !inUse(rank, len(names), s.Step) {
 				all[name] = true
 			}
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -246,11 +246,7 @@
 
 func (n *Node) write(key string, value []byte) {
 	n.seq++
-	content := []byte{absent}
-	if value != nil {
-		content = append([]byte{present}, value...)
-	}
-	e := Entry{Owner: n.cfg.Name, Key: key, Version: Version{n.inc, n.seq}, Contents: [][]byte{content}}
+	e := Entry{Owner: n.cfg.Name, Key: key, Version: Version{n.inc, n.seq}, Contents: [][]byte{contentOf(value)}}
 	if n.copies.Merge(e) {
 		n.rumour(rumourKey{owner: e.Owner, key: key})
 	}
@@ -265,11 +261,15 @@
 
 // DecidedEntry is the copy of a decision.
 func DecidedEntry(key string, number uint64, value []byte) Entry {
-	content := []byte{absent}
-	if value != nil {
-		content = append([]byte{present}, value...)
+	return Entry{Owner: Council, Key: key, Version: Version{1, number}, Contents: [][]byte{contentOf(value)}}
+}
+
+// contentOf is a value as entries have it; nil: taken back.
+func contentOf(value []byte) []byte {
+	if value == nil {
+		return []byte{absent}
 	}
-	return Entry{Owner: Council, Key: key, Version: Version{1, number}, Contents: [][]byte{content}}
+	return append([]byte{present}, value...)
 }
 
 // Leave tells that the process ends: what it wrote is taken back with it.
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -165,13 +165,7 @@
 func (t *Tier) tellCopies(now time.Duration) {
 	k := t.copies
 	frames, bytes := t.sent.gossipFrames.Load(), t.sent.gossipBytes.Load()
-	step, whole := int64(-1), int64(-1)
-	if ago, ok := k.node.Caught(now); ok {
-		step = ago.Milliseconds()
-	}
-	if k.whole >= 0 {
-		whole = (now - k.whole).Milliseconds()
-	}
+	step, whole := k.ages(now)
 	dead, orders := 0, 0
 	k.node.Copies().All("", func(e *replica.Entry) bool {
 		if len(e.Values()) > 0 && replica.KindOf(e.Key) == council.OrderKind {
@@ -186,6 +180,19 @@
 	k.frames, k.bytes, k.toldAt = frames, bytes, now
 }
 
+// ages are how many milliseconds ago the copies were seen to equal another's, and as of how long ago all that was decided is here; -1: neither
+// is known since the start.
+func (k *copies) ages(now time.Duration) (step, whole int64) {
+	step, whole = -1, -1
+	if ago, ok := k.node.Caught(now); ok {
+		step = ago.Milliseconds()
+	}
+	if k.whole >= 0 {
+		whole = (now - k.whole).Milliseconds()
+	}
+	return step, whole
+}
+
 // heed looks at what has changed in the copies. The caller has mu.
 func (t *Tier) heed(now time.Duration) {
 	k := t.copies
@@ -374,15 +381,10 @@
 		return nil
 	}
 	s := &CopiesStatus{
-		Incarnation: k.node.Inc(), Members: map[string]string{}, Health: k.node.Health(), InStepMs: -1, DecidedMs: -1, Hints: k.evidence.Hints(k.node),
+		Incarnation: k.node.Inc(), Members: map[string]string{}, Health: k.node.Health(), Hints: k.evidence.Hints(k.node),
 		Hinted: k.hinted, Sums: map[string]uint64{}, Figures: k.node.Figures, Refused: k.node.Copies().Counts,
 	}
-	if ago, ok := k.node.Caught(now); ok {
-		s.InStepMs = ago.Milliseconds()
-	}
-	if k.whole >= 0 {
-		s.DecidedMs = (now - k.whole).Milliseconds()
-	}
+	s.InStepMs, s.DecidedMs = k.ages(now)
 	for name := range t.cfg.Members {
 		s.Members[name] = k.node.Member(name).State.String()
 	}
--- a/internal/tier/memory.go
+++ b/internal/tier/memory.go
@@ -83,31 +83,28 @@
 	return nil
 }
 
-// Found has the process found its fleet, whose council is in memory.
-func (o *Operator) Found(ctx context.Context) error {
-	a, err := o.askAll(ctx, asked{Found: true})
+// have has the very process that is asked do something, and says why it did not.
+func (o *Operator) have(ctx context.Context, q asked) error {
+	a, err := o.askAll(ctx, q)
 	if err == nil && a.Why != "" {
 		err = errors.New(a.Why)
 	}
 	return err
 }
 
+// Found has the process found its fleet, whose council is in memory.
+func (o *Operator) Found(ctx context.Context) error {
+	return o.have(ctx, asked{Found: true})
+}
+
 // Handover has the process, which holds a lease, give it to a member as soon as nothing of it is out.
 func (o *Operator) Handover(ctx context.Context, name, to string) error {
-	a, err := o.askAll(ctx, asked{Handover: &handover{name, to}})
-	if err == nil && a.Why != "" {
-		err = errors.New(a.Why)
-	}
-	return err
+	return o.have(ctx, asked{Handover: &handover{name, to}})
 }
 
 // Forget has the process take back what it says under a key.
 func (o *Operator) Forget(ctx context.Context, key string) error {
-	a, err := o.askAll(ctx, asked{Forget: key})
-	if err == nil && a.Why != "" {
-		err = errors.New(a.Why)
-	}
-	return err
+	return o.have(ctx, asked{Forget: key})
 }
 
 // handover is a lease that is to go to a member.
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// lookAround takes the pools' lists, looks at zones that are not wholly in use, and returns what is to be avoided anew. It is called without
+// lookAround takes the pools' lists, and looks at zones that are not wholly in use. It is called without
 // the tier's mu: it waits for servers.
 func (t *Tier) lookAround() {
 	k := t.copies
