Wake a process that shares state only when there is something to tell or to look at

What pools see nudges the tier now, at most ten times a second; lists that have not changed no longer have all orders reckoned anew. The virtual clocks of the explorer and of the core's tests wake a process after a message, as the host does: TestCutOffAtEveryPiece failed until then.

--- a/internal/explore/copies.go
+++ b/internal/explore/copies.go
@@ -20,6 +20,7 @@
 type shared struct {
 	node   *replica.Node
 	ticks  uint64
+	armed  time.Duration // when the next tick is, by the process' clock; below 0: none is due
 	orders uint64
 	newest map[replica.Place]replica.Version
 	gone   map[replica.Place]bool
@@ -39,18 +40,24 @@
 	for _, q := range p.w.procs {
 		cfg.Members = append(cfg.Members, q.name)
 	}
-	p.rep = &shared{node: replica.New(p.clock(), cfg), newest: map[replica.Place]replica.Version{}, gone: map[replica.Place]bool{}}
+	p.rep = &shared{node: replica.New(p.clock(), cfg), newest: map[replica.Place]replica.Version{}, gone: map[replica.Place]bool{}, armed: -1}
 	p.gossipLater()
 	p.soon(time.Duration(p.w.rumours.IntN(800))*time.Millisecond, p.writes)
 }
 
+// gossipLater has the copies tick when they want to, unless they do so sooner already.
 func (p *proc) gossipLater() {
+	next := p.rep.node.Next()
+	if p.rep.armed >= 0 && p.rep.armed <= next {
+		return
+	}
+	p.rep.armed = next
 	p.rep.ticks++
 	tick, rep := p.rep.ticks, p.rep
-	p.soon(max(time.Millisecond, time.Duration(float64(p.rep.node.Next()-p.clock())/p.rate)), func() {
+	p.soon(max(time.Millisecond, time.Duration(float64(next-p.clock())/p.rate)), func() {
 		if p.rep == rep && rep.ticks == tick {
+			rep.armed = -1
 			p.says(rep.node.Tick(p.clock()))
-			p.gossipLater()
 		}
 	})
 }
@@ -66,6 +73,7 @@
 		})
 	}
 	p.w.watch.copies(p)
+	p.gossipLater()
 }
 
 // writes has the process write something, or take it back, again and again.
@@ -84,6 +92,7 @@
 		p.call(council.Request{Order: &council.OrderCommand{Key: key, Value: p.name, Lift: p.w.rumours.IntN(2) == 0}}, func(council.Response) {})
 	}
 	p.w.watch.copies(p)
+	p.gossipLater()
 	p.soon(200*time.Millisecond+time.Duration(p.w.rumours.IntN(1500))*time.Millisecond, p.writes)
 }
 
@@ -94,6 +103,7 @@
 	}
 	p.rep.orders = p.node.Fleet().OrdersSince(p.rep.orders, func(key string, o council.Order) { p.rep.node.Decide(key, o.Number, o.Bytes()) })
 	p.w.watch.copies(p)
+	p.gossipLater()
 }
 
 // copies looks at what has changed at a process: a version never goes back, and what was gone does not come back as it was.
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -40,6 +40,7 @@
 	copies            string                     // keys of [tier.copies]; empty: no state is shared
 	nboxes            int                        // 0: three
 	tick              time.Duration              // of the council; 0: tierTick
+	term              time.Duration              // 0: tierTerm
 	zone              func(i int) string         // of a process, or nil
 	dealt             bool                       // each process chooses among servers of its own
 	ledger            *standin.Ledger            // of clients, or nil
@@ -193,7 +194,7 @@
 		council = append(council, strconv.Quote(q.name))
 	}
 	fmt.Fprintf(&b, "[tier]\nname = %q\nsecret = %q\ncouncil = [%s]\nterm = %q\ntick = %q\ndrift = %.3f\nguard = \"30ms\"\n",
-		p.name, p.f.secret, strings.Join(council, ", "), tierTerm, cmp.Or(p.f.cfg.tick, tierTick), tierDrift)
+		p.name, p.f.secret, strings.Join(council, ", "), cmp.Or(p.f.cfg.term, tierTerm), cmp.Or(p.f.cfg.tick, tierTick), tierDrift)
 	b.WriteString(p.f.cfg.more)
 	if p.f.cfg.memory {
 		b.WriteString("council_in_memory = \"all promises are forgotten when most members end at once\"\n")
--- a/internal/lab/tiercost.go
+++ b/internal/lab/tiercost.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"sorrelrudder/internal/standin"
@@ -11,17 +12,22 @@
 
 func init() {
 	Register(Scenario{
-		Name: "tier-cost", Duration: 24 * time.Second, Run: tierCost,
-		Summary: "processor time a request of a process that leads a fleet of three and shares state with it, at the usual times, and of one alone, in turn",
+		Name: "tier-cost", Duration: 48 * time.Second, Run: tierCost,
+		Summary: "processor time a request of a process that leads a fleet of three and shares state with it, at the usual times, and of one alone, in turn at two rates: what it costs by request, and what by time",
 	})
 }
 
-// tierRounds is how often the two are measured in turn.
+// tierRounds is how often the two are measured in turn, at each of the rates.
 const tierRounds = 6
 
+// tierRates are requests a second. What knowing a fleet costs by the time, heartbeats and renewals, is the same at each; the rest is by request.
+var tierRates = []float64{500, 2500}
+
 // tierCost compares a process that leads a fleet's council and holds its task's lease, a slot a second, and shares state, with one that knows no others.
 func tierCost(ctx context.Context, e *Env) error {
-	f, err := e.startFleet(ctx, fleetConfig{processes: 3, voters: 3, tick: 100 * time.Millisecond, copies: "witnesses = 2\n", tasks: taskTOML("sweep", "/delivery-order/sweep", "1s", "")})
+	f, err := e.startFleet(ctx, fleetConfig{
+		processes: 3, voters: 3, term: 3 * time.Second, tick: 100 * time.Millisecond, copies: "witnesses = 2\n", tasks: taskTOML("sweep", "/delivery-order/sweep", "1s", ""),
+	})
 	if err != nil {
 		return err
 	}
@@ -29,55 +35,73 @@
 		return err
 	}
 	ledger := standin.NewLedger()
-	text := "[[listeners]]\nname = \"farm\"\naddress = \"127.0.0.1:0\"\n\n[pools.farm]\n"
-	alone, err := e.StartAs(ctx, "alone", text+serversTOML("farm", f.boxes)+classesTOML("farm"), 1)
+	text, _, _ := strings.Cut(f.procs[0].text(), "[tier]") // the same pool, and no fleet
+	alone, err := e.StartAs(ctx, "alone", text, 1)
 	if err != nil {
 		return err
 	}
 	leader := f.procs[f.leader()].prog
-	part := e.Duration / (2 * tierRounds)
+	part := e.Duration / time.Duration(2*tierRounds*len(tierRates))
 	crowds := 0
-	per := func(p *Program) (float64, error) {
+	// used is the processor time a second, and the requests a second, under a load.
+	used := func(p *Program, rate float64) (cores, requests float64, err error) {
 		crowds++
 		before, err := p.CPU()
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
+		began := time.Now()
 		load, cancel := context.WithTimeout(ctx, part)
 		defer cancel()
 		crowd := standin.RunClients(load, standin.ClientConfig{
-			Name: fmt.Sprint("farm", crowds), Addr: p.Addr("farm"), Host: "farm.example.org", Rate: 500, Tries: 1, Classes: []standin.ClassLoad{allocationCheck}, Ledger: ledger, Seed: e.Seed,
+			Name: fmt.Sprint("farm", crowds), Addr: p.Addr("farm"), Host: "farm.example.org", Rate: rate, Tries: 1, Classes: []standin.ClassLoad{allocationCheck}, Ledger: ledger, Seed: e.Seed,
 		})
 		after, err := p.CPU()
 		if err != nil || crowd.Ops() == 0 {
-			return 0, fmt.Errorf("no requests: %w", err)
+			return 0, 0, fmt.Errorf("no requests: %w", err)
 		}
-		return (after - before).Seconds() / float64(crowd.Ops()), nil
+		length := time.Since(began).Seconds()
+		return (after - before).Seconds() / length, float64(crowd.Ops()) / length, nil
 	}
-	var ratios []float64
+	ratios := make([][]float64, len(tierRates))
+	var slopes, byTime []float64
 	for n := range tierRounds {
-		e.Phase(fmt.Sprintf("round %d of %d", n+1, tierRounds), 2*part)
-		first, second := leader, alone
-		if n%2 == 1 {
-			first, second = alone, leader
-		}
-		a, err := per(first)
-		if err != nil {
-			return err
+		e.Phase(fmt.Sprintf("round %d of %d", n+1, tierRounds), 2*part*time.Duration(len(tierRates)))
+		type point struct{ cores, requests float64 }
+		points := map[*Program][]point{}
+		for i, rate := range tierRates {
+			pair := []*Program{leader, alone}
+			if (n+i)%2 == 1 {
+				slices.Reverse(pair)
+			}
+			for _, p := range pair {
+				cores, requests, err := used(p, rate)
+				if err != nil {
+					return err
+				}
+				points[p] = append(points[p], point{cores, requests})
+			}
+			a, b := points[leader][i], points[alone][i]
+			ratios[i] = append(ratios[i], a.cores/a.requests/(b.cores/b.requests))
 		}
-		b, err := per(second)
-		if err != nil {
-			return err
-		}
-		if n%2 == 1 {
-			a, b = b, a
+		last := len(tierRates) - 1
+		slope := func(p *Program) float64 {
+			return (points[p][last].cores - points[p][0].cores) / (points[p][last].requests - points[p][0].requests)
 		}
-		ratios = append(ratios, a/b)
+		slopes = append(slopes, slope(leader)/slope(alone))
+		byTime = append(byTime, points[leader][0].cores-points[leader][0].requests*slope(leader)-(points[alone][0].cores-points[alone][0].requests*slope(alone)))
+	}
+	told := func(name string, all []float64) {
+		slices.Sort(all)
+		e.Measure(name+"_least", all[0])
+		e.Measure(name, (all[(len(all)-1)/2]+all[len(all)/2])/2)
+		e.Measure(name+"_most", all[len(all)-1])
+	}
+	for i, rate := range tierRates {
+		told(fmt.Sprintf("ratio_at_%.0f", rate), ratios[i])
 	}
-	slices.Sort(ratios)
-	e.Measure("ratio_least", ratios[0])
-	e.Measure("ratio_median", (ratios[(tierRounds-1)/2]+ratios[tierRounds/2])/2)
-	e.Measure("ratio_most", ratios[tierRounds-1])
+	told("ratio_by_request", slopes)
+	told("cores_by_time", byTime)
 	rest := map[*Program]time.Duration{}
 	for _, p := range []*Program{leader, alone} {
 		if rest[p], err = p.CPU(); err != nil {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -358,8 +358,17 @@
 	if n.left {
 		return math.MaxInt64
 	}
-	at := min(n.nextProbe, n.nextGossip, n.nextSync)
-	if n.syncTo != "" && n.behind {
+	at := min(n.nextProbe, n.nextSync)
+	if len(n.rumours) > 0 { // with nothing new nobody is woken: a process at rest is woken by its probes alone
+		at = min(at, n.nextGossip)
+	}
+	if len(n.watched) > 0 {
+		at = min(at, n.nextJudge)
+	}
+	for _, r := range n.relays {
+		at = min(at, r.until)
+	}
+	if n.syncTo != "" {
 		at = min(at, n.syncEnd)
 	}
 	if p := n.asking; p != nil {
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -39,7 +39,8 @@
 	cut   func(from, to string) bool
 	late  time.Duration // messages are late by up to so much
 	twice bool
-	bytes map[string]int // that went to somebody
+	bytes map[string]int          // that went to somebody
+	armed map[*Node]time.Duration // when they tick next
 	// Another process of a name, or none: it hears what goes to the name, too.
 	twin   *Node
 	twinOf string
@@ -67,7 +68,7 @@
 }
 
 func newNetwork(t *testing.T, size int) *network {
-	w := &network{t: t, rng: rand.New(rand.NewPCG(5, 5)), up: map[string]*Node{}, size: size, bytes: map[string]int{}}
+	w := &network{t: t, rng: rand.New(rand.NewPCG(5, 5)), up: map[string]*Node{}, size: size, bytes: map[string]int{}, armed: map[*Node]time.Duration{}}
 	for _, name := range names(size) {
 		w.start(name)
 	}
@@ -95,9 +96,16 @@
 	return n
 }
 
+// arm has a process tick when it wants to, unless it does so sooner already.
 func (w *network) arm(name string, n *Node) {
-	w.after(max(ms, n.Next()-w.now), func() {
-		if w.up[name] == n {
+	next := n.Next()
+	if at, is := w.armed[n]; is && at <= next {
+		return
+	}
+	w.armed[n] = next
+	w.after(max(ms, next-w.now), func() {
+		if w.up[name] == n && w.armed[n] == next {
+			delete(w.armed, n)
 			w.send(name, n.Tick(w.now))
 			w.arm(name, n)
 		}
@@ -123,6 +131,7 @@
 			w.after(d, func() {
 				if to := w.up[o.To]; to != nil {
 					w.send(o.To, to.Take(w.now, from, m))
+					w.arm(o.To, to)
 				}
 				if o.To == w.twinOf {
 					w.send(o.To, w.twin.Take(w.now, from, m))
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -54,8 +54,11 @@
 	evidence *replica.Evidence
 	pools    Pools
 	sights   chan sight
-	orders   uint64 // the number of the newest order that was taken from the council's log here
+	orders   uint64        // the number of the newest order that was taken from the council's log here
+	nudge    chan struct{} // there is something among sights
+	sightAt  time.Duration // before it sights are not looked at for a nudge
 	hintAt   time.Duration
+	stirred  bool // the evidence or the orders may have changed since hints were looked for, or some stand
 	saveAt   time.Duration
 	ordered  bool          // the orders in force have changed
 	foreign  bool          // a peer of another format was told of
@@ -94,7 +97,7 @@
 	cfg.Seed = h.Sum64()
 	now := t.clock.Now()
 	k := &copies{
-		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), whole: -1,
+		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), nudge: make(chan struct{}, 1), whole: -1,
 		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
 		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}}, looked: map[string]bool{},
 		hints: map[string]bool{}, due: map[string]map[string]bool{}, saveAt: now + saveEvery,
@@ -112,6 +115,10 @@
 			case k.sights <- sight{pool, server, is}:
 			default:
 			}
+			select {
+			case k.nudge <- struct{}{}:
+			default: // it will find them
+			}
 		})
 	}
 	t.copies = k
@@ -128,13 +135,16 @@
 // gossip does what is due for the shared state, and returns when it is to be called again at the latest. The caller has mu.
 func (t *Tier) gossip(now time.Duration) time.Duration {
 	k := t.copies
+	k.sightAt = now + hintEvery
 	for n := len(k.sights); n > 0; n-- {
 		s := <-k.sights
+		k.stirred = true
 		if key := replica.ServerKey(replica.DeadKind, s.pool, s.server); key != "" {
 			k.evidence.Saw(now, k.node, key, s.silent)
 		}
 	}
 	for _, lie := range k.lies {
+		k.stirred = true
 		k.evidence.Saw(now, k.node, replica.DeadKind+"/"+lie, true)
 	}
 	t.say(k.node.Tick(now))
@@ -152,10 +162,26 @@
 			}
 		})
 	}
-	if k.pools == nil {
-		return k.node.Next()
+	at := k.node.Next()
+	if k.pools != nil && k.stirred {
+		at = min(at, k.hintAt)
+	}
+	if z := &k.zones; z.cfg != nil && z.cfg.Automatic != ZonesOff && len(z.keepers) > 0 {
+		at = min(at, z.judgeAt) // while this process decides
+	}
+	if k.cfg.Figures > 0 {
+		at = min(at, k.toldAt+k.cfg.Figures)
+	}
+	return at
+}
+
+// look has what pools have seen be looked at soon: not at each sight, of which there may be many.
+func (t *Tier) look() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx.Err() == nil {
+		t.timer.Reset(max(0, t.clock.Real(t.copies.sightAt-t.clock.Now())))
 	}
-	return min(k.node.Next(), k.hintAt)
 }
 
 // CopiesFigures is the message of the log's line on shared state. 'sorrelrudder fleet' counts it over all processes.
@@ -203,12 +229,14 @@
 	for _, p := range changed {
 		k.ordered = k.ordered || p.Owner() == replica.Council
 	}
+	k.stirred = k.stirred || len(changed) > 0 || k.ordered
 	k.evidence.Look(now, k.node, changed)
 	if k.pools == nil || now < k.hintAt {
 		return
 	}
 	k.hintAt = now + hintEvery
 	hints := k.evidence.Hints(k.node)
+	k.stirred = len(hints) > 0 || k.evidence.Own() > 0 // hints are given again while they stand, and what was seen here ages
 	k.hinted += len(hints)
 	var orders map[string]map[string]bool
 	if k.ordered {
@@ -345,6 +373,7 @@
 func (t *Tier) takeOrders(f *council.Fleet) {
 	if k := t.copies; k != nil && f != nil && f.Ordered > k.orders {
 		k.orders = f.OrdersSince(k.orders, func(key string, o council.Order) { k.node.Decide(key, o.Number, o.Bytes()) })
+		t.keep()
 	}
 }
 
--- /dev/null
+++ b/internal/tier/rest_test.go
@@ -0,0 +1,58 @@
+package tier
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/replica"
+)
+
+// BenchmarkRest tells what processor time a process of three takes at rest, at the usual times, and how often it is woken.
+func BenchmarkRest(b *testing.B) {
+	for _, sharing := range []bool{false, true} {
+		b.Run(map[bool]string{false: "leases", true: "leases and copies"}[sharing], func(b *testing.B) {
+			cfgs := fleet(b, 3)
+			var all []*Tier
+			for i := range cfgs {
+				cfgs[i].Rules.Term, cfgs[i].Tick = 3*time.Second, 100*time.Millisecond
+				if sharing {
+					u := replica.Usual()
+					cfgs[i].Copies = &CopiesConfig{Gossip: u.Gossip, Probe: u.Probe, Sync: u.Sync, Keep: u.Keep, Fanout: u.Fanout, Budget: u.Budget, Witnesses: 2}
+				}
+				all = append(all, start(b, cfgs[i], &servers{}))
+			}
+			defer func() {
+				for _, t := range all {
+					t.Close()
+				}
+			}()
+			for _, t := range all {
+				t.Want("one", 1)
+			}
+			for _, t := range all {
+				eventually(b, "all have sessions", func() bool {
+					t.mu.Lock()
+					defer t.mu.Unlock()
+					return t.keeper.Session() != 0
+				})
+			}
+			used := func() (time.Duration, int64) {
+				var u syscall.Rusage
+				if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+					b.Fatal(err)
+				}
+				return time.Duration(u.Utime.Nano() + u.Stime.Nano()), u.Nvcsw
+			}
+			for range b.N {
+				const window = 5 * time.Second
+				time.Sleep(time.Second)
+				before, woken := used()
+				time.Sleep(window)
+				after, woken2 := used()
+				b.ReportMetric((after-before).Seconds()/window.Seconds()/3*1000, "ms/s/process")
+				b.ReportMetric(float64(woken2-woken)/window.Seconds()/3, "switches/s/process")
+			}
+		})
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -328,10 +328,17 @@
 
 // rounds looks at what is to be asked and done, whenever that is due.
 func (t *Tier) rounds() {
+	var nudge chan struct{}
+	if t.copies != nil {
+		nudge = t.copies.nudge
+	}
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
+		case <-nudge:
+			t.look()
+			continue
 		case <-t.timer.C:
 		}
 		t.mu.Lock()
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -180,6 +180,9 @@
 	type look struct{ pool, zone, server string }
 	var looks []look
 	t.mu.Lock()
+	if !maps.EqualFunc(lists, k.zones.lists, maps.Equal[map[string]string]) {
+		k.ordered, k.stirred = true, true // servers may be new
+	}
 	k.zones.lists = lists
 	wanted := map[string]bool{}
 	for pool, list := range lists {
@@ -208,7 +211,7 @@
 			delete(k.looked, key)
 		}
 	}
-	k.ordered = true // servers may be new
+	t.keep()
 	t.mu.Unlock()
 	for _, l := range looks {
 		answers := k.pools.Look(l.pool, l.server)
@@ -221,6 +224,7 @@
 		if k.node.Put(key, []byte(value)) {
 			k.looked[key] = true
 		}
+		t.keep()
 		t.mu.Unlock()
 	}
 }
