Decisions of a council founded anew are no longer outweighed by copies of the former

After the loss of the council's disks the operators' page has the fleet founded anew; its decisions are then numbered from 1 again (council.Fleet.order). Copies had all of them under one incarnation (replica.DecidedEntry), so that what processes had kept on disk of the former fleet, of larger numbers, won for good: new orders of operators were taken, answered and carried out nowhere. Seen in TestFoundedAnew: 20 s in vain.

Decisions now bear a tag of the fleet that was drawn as it was founded. The council's word at each renewal names it; from then on others are dropped and kept out, and counted (foreign). A process that has not heard that word yet goes on by what it has kept. TestCouncilAnew holds it where half know.

--- a/internal/council/orders.go
+++ b/internal/council/orders.go
@@ -47,6 +47,7 @@
 type Decided struct {
 	Number uint64 `json:"number"`
 	Sum    uint64 `json:"sum"`
+	Fleet  string `json:"fleet"` // whose council it is
 }
 
 func (f *Fleet) order(c OrderCommand) OrderResult {
@@ -91,10 +92,10 @@
 
 // decided is how far this node has come, as it is told with each renewal.
 func (f *Fleet) decided() *Decided {
-	d := &Decided{Number: f.Ordered}
+	d, tag := &Decided{Number: f.Ordered, Fleet: f.ID}, replica.FleetTag(f.ID)
 	for _, key := range slices.Sorted(maps.Keys(f.Orders)) {
 		o := f.Orders[key]
-		d.Sum += replica.DecidedEntry(key, o.Number, o.bytes()).Sum()
+		d.Sum += replica.DecidedEntry(tag, key, o.Number, o.bytes()).Sum()
 	}
 	return d
 }
--- a/internal/council/orders_test.go
+++ b/internal/council/orders_test.go
@@ -44,7 +44,9 @@
 		}
 		// Who has all of them, in whatever order they came, has the same sum.
 		var entries []replica.Entry
-		f.OrdersSince(0, func(key string, o Order) { entries = append(entries, replica.DecidedEntry(key, o.Number, o.Bytes())) })
+		f.OrdersSince(0, func(key string, o Order) {
+			entries = append(entries, replica.DecidedEntry(replica.FleetTag(f.ID), key, o.Number, o.Bytes()))
+		})
 		sum := uint64(0)
 		for _, i := range rapid.Permutation([]int{0, 1}).Draw(t, "order") {
 			if i < len(entries) {
--- a/internal/explore/copies.go
+++ b/internal/explore/copies.go
@@ -101,6 +101,7 @@
 	if p.rep == nil || p.node == nil || p.node.Fleet() == nil {
 		return
 	}
+	p.rep.node.Copies().Council(replica.FleetTag(p.node.Fleet().ID))
 	p.rep.orders = p.node.Fleet().OrdersSince(p.rep.orders, func(key string, o council.Order) { p.rep.node.Decide(key, o.Number, o.Bytes()) })
 	p.w.watch.copies(p)
 	p.gossipLater()
--- a/internal/replica/copies.go
+++ b/internal/replica/copies.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
@@ -27,6 +28,7 @@
 	owners  map[string]*owner
 	sums    map[string]*sums
 	plant   Plant
+	council uint64 // whose decisions count; 0: that is not known yet
 
 	changed []Place // that have another entry than before, or none any more, since Changed was last called
 	Counts  Counts
@@ -39,6 +41,7 @@
 	Full    int
 	Differ  int // contents of one version that differ
 	Old     int // of a version that was known, or an older one
+	Foreign int // decisions of another council than this fleet's
 }
 
 // Plant is a mistake that is made on purpose, to see that it is found.
@@ -70,6 +73,32 @@
 	return c
 }
 
+// Council tells of which fleet's council the decisions count, by FleetTag: one that was founded anew, since its disks were lost, numbers from 1
+// again, and what copies still hold of the former one's must not outweigh it. Those of any other are dropped, and kept out from now on.
+func (c *Copies) Council(tag uint64) {
+	if tag == 0 || tag == c.council {
+		return
+	}
+	c.council = tag
+	o := c.owner(Council)
+	if o == nil {
+		return
+	}
+	for _, key := range slices.Sorted(maps.Keys(o.entries)) {
+		if o.entries[key].Inc != tag {
+			c.drop(Council, o, key)
+		}
+	}
+	o.inc, o.gone = tag, 0
+}
+
+// FleetTag is how copies tell the decisions of one fleet's council from another's, by its identity that was drawn as it was founded.
+func FleetTag(fleet string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(fleet))
+	return mix(h.Sum64()) | 1 // never 0
+}
+
 // Changed returns what has changed since it was last called.
 func (c *Copies) Changed() []Place {
 	all := c.changed
@@ -105,9 +134,13 @@
 // Learn takes what is told of an owner: of it only the newest incarnation counts, and nothing up to what was given up. It reports whether that
 // was new.
 func (c *Copies) Learn(s OwnerState) bool {
-	if s.Name != Council && !c.allowed(s.Name) {
+	switch {
+	case s.Name != Council && !c.allowed(s.Name):
 		c.Counts.Unknown++
 		return false
+	case s.Name == Council && (s.Gone > 0 || c.council != 0 && s.Inc != c.council):
+		c.Counts.Foreign++
+		return false
 	}
 	o := c.owner(s.Name)
 	if o == nil || s.Inc <= o.inc && s.Gone <= o.gone {
@@ -139,6 +172,10 @@
 		c.Counts.Unknown++
 		return false
 	}
+	if e.Owner == Council && c.council != 0 && e.Inc != c.council {
+		c.Counts.Foreign++
+		return false
+	}
 	o := c.owner(e.Owner)
 	if o == nil {
 		return false
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -254,14 +254,14 @@
 
 // Decide takes what the council has decided, from the log or from another's word: number grows with each decision. value nil: taken back.
 func (n *Node) Decide(key string, number uint64, value []byte) {
-	if n.copies.Merge(DecidedEntry(key, number, value)) {
+	if n.copies.Merge(DecidedEntry(max(1, n.copies.council), key, number, value)) {
 		n.rumour(rumourKey{owner: Council, key: key})
 	}
 }
 
-// DecidedEntry is the copy of a decision.
-func DecidedEntry(key string, number uint64, value []byte) Entry {
-	return Entry{Owner: Council, Key: key, Version: Version{1, number}, Contents: [][]byte{contentOf(value)}}
+// DecidedEntry is the copy of a decision of the council that tag stands for.
+func DecidedEntry(tag uint64, key string, number uint64, value []byte) Entry {
+	return Entry{Owner: Council, Key: key, Version: Version{tag, number}, Contents: [][]byte{contentOf(value)}}
 }
 
 // contentOf is a value as entries have it; nil: taken back.
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -513,3 +513,39 @@
 		t.Errorf("the word of one that is dead counts: %v", h)
 	}
 }
+
+// TestCouncilAnew: half of the processes know that the council was founded anew, and half hold larger numbers of the former one's: nothing of the
+// former is taken over by who knows, and once all know all are equal.
+func TestCouncilAnew(t *testing.T) {
+	w := newNetwork(t, 6)
+	former, present := FleetTag("former"), FleetTag("present")
+	for _, n := range w.up {
+		n.Copies().Council(former)
+	}
+	w.up["a"].Decide("order/x", 50, []byte("avoid"))
+	w.up["a"].Decide("order/y", 51, []byte("avoid"))
+	w.until("all have it", 5*time.Second, func() bool { return w.same() && w.holds("f", Council, "order/y") })
+	for _, name := range []string{"a", "b", "c"} {
+		w.up[name].Copies().Council(present)
+	}
+	w.up["b"].Decide("order/x", 1, []byte("new"))
+	w.run(5 * time.Second)
+	for _, name := range []string{"a", "b", "c"} {
+		if e, ok := w.up[name].Copies().Get(Council, "order/x"); !ok || e.Seq != 1 {
+			t.Errorf("%s holds %+v", name, e)
+		}
+		if w.holds(name, Council, "order/y") {
+			t.Errorf("%s has an order of the former council", name)
+		}
+	}
+	if w.up["b"].Copies().Counts.Foreign == 0 {
+		t.Error("nothing of the former was kept out: nothing was shown")
+	}
+	for _, n := range w.up {
+		n.Copies().Council(present)
+	}
+	w.until("all are equal", 5*time.Second, func() bool {
+		e, ok := w.up["f"].Copies().Get(Council, "order/x")
+		return w.same() && ok && e.Seq == 1 && !w.holds("f", Council, "order/y")
+	})
+}
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -364,14 +364,24 @@
 
 // decidedAt takes the council's word, asked for at that moment, of how far it has come: who has the same sum has all that was decided before.
 func (t *Tier) decidedAt(at time.Duration, d *council.Decided) {
-	if k := t.copies; k != nil && d != nil && k.node.Copies().Sum(council.OrderKind)+k.node.Copies().Sum(council.ZoneKind) == d.Sum {
+	k := t.copies
+	if k == nil || d == nil {
+		return
+	}
+	k.node.Copies().Council(replica.FleetTag(d.Fleet))
+	if k.node.Copies().Sum(council.OrderKind)+k.node.Copies().Sum(council.ZoneKind) == d.Sum {
 		k.whole = max(k.whole, at)
 	}
 }
 
 // takeOrders takes over what the log here has decided. The caller has mu.
 func (t *Tier) takeOrders(f *council.Fleet) {
-	if k := t.copies; k != nil && f != nil && f.Ordered > k.orders {
+	k := t.copies
+	if k == nil || f == nil {
+		return
+	}
+	k.node.Copies().Council(replica.FleetTag(f.ID))
+	if f.Ordered > k.orders {
 		k.orders = f.OrdersSince(k.orders, func(key string, o council.Order) { k.node.Decide(key, o.Number, o.Bytes()) })
 		t.keep()
 	}
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -405,3 +405,71 @@
 	ln.Close()
 	open.Wait()
 }
+
+// TestFoundedAnew: the disks of the council are lost and the fleet is founded anew, as the operators' page has it, so that its decisions are
+// numbered from 1 again. What the processes have kept of the former fleet's, of larger numbers, must not outweigh them.
+func TestFoundedAnew(t *testing.T) {
+	cfgs := sharing(t, 3)
+	var farms []*farmPools
+	var all []*Tier
+	begin := func() {
+		farms, all = nil, nil
+		for _, cfg := range cfgs {
+			f := newFarm()
+			farms, all = append(farms, f), append(all, start(t, cfg, f))
+		}
+	}
+	begin()
+	key := replica.ServerKey(council.OrderKind, "farm", "box")
+	other := replica.ServerKey(council.OrderKind, "farm", "other")
+	for range 3 {
+		order(t, all[0], cfgs[0], council.OrderCommand{Key: key, Value: "patched"})
+		order(t, all[0], cfgs[0], council.OrderCommand{Key: other, Value: "patched"})
+	}
+	eventually(t, "all carry it out", func() bool {
+		return farms[0].avoids("box") && farms[1].avoids("box") && farms[2].avoids("box")
+	})
+	for i, tr := range all {
+		tr.mu.Lock()
+		data := tr.copies.snapshot(cfgs[i].Name)
+		tr.mu.Unlock()
+		tr.Close()
+		if err := writeWhole(cfgs[i].Copies.Store, data); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Remove(cfgs[i].Store); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := OpenStore(cfgs[0].Store, cfgs[0].Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Found(cfgs[0].Council); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	begin()
+	defer func() {
+		for _, tr := range all {
+			tr.Close()
+		}
+	}()
+	if r := order(t, all[1], cfgs[1], council.OrderCommand{Key: other, Value: "patched"}); r.Number != 1 {
+		t.Fatalf("%+v", r)
+	}
+	eventually(t, "what the new fleet has decided is carried out, and nothing else", func() bool {
+		for i, f := range farms {
+			if f.avoids("box") || !f.avoids("other") || state(t, all[i], cfgs[i]).DecidedMs < 0 {
+				return false
+			}
+		}
+		return true
+	})
+	if r := order(t, all[2], cfgs[2], council.OrderCommand{Key: other, Lift: true}); r.Number != 2 {
+		t.Fatalf("%+v", r)
+	}
+	eventually(t, "and its word lifts it", func() bool {
+		return !farms[0].avoids("other") && !farms[1].avoids("other") && !farms[2].avoids("other")
+	})
+}
