lab replica-rush: what a process serves in its first seconds after a start in the rush

Ten processes, two of nine servers dead, two killed and started again at a time, 30 requests a second at each without second tries.

--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -36,6 +36,10 @@
 		Name: "replica-liar", Duration: 10 * time.Second, Run: replicaLiar,
 		Summary: "one, then two of twelve processes say that all servers are dead: what that costs",
 	})
+	Register(Scenario{
+		Name: "replica-rush", Duration: 28 * time.Second, Run: replicaRush,
+		Summary: "processes are killed and started again in the rush while two of nine servers are dead: what each serves in its first three seconds, beside its neighbours",
+	})
 	Register(Scenario{
 		Name: "replica-storm", Duration: 14 * time.Second, Run: replicaStorm,
 		Summary: "20 processes under lost, doubled and late messages, stops and kills; ten return at one moment",
@@ -374,6 +378,100 @@
 	return nil
 }
 
+// replicaRush starts processes again under load, two at a time, while servers are dead that only those know which have met them.
+func replicaRush(ctx context.Context, e *Env) error {
+	const first = 3 * time.Second // of a process' life, in which it is compared
+	ledger := standin.NewLedger()
+	served := map[string]float64{}
+	for _, shared := range []bool{false, true} {
+		name := "alone"
+		cfg := fleetConfig{
+			processes: 10, voters: 3, nboxes: 9, ledger: ledger, box: func(b *standin.BoxConfig) { b.Service = 15 * time.Millisecond },
+		}
+		if shared {
+			cfg.copies, name = usualCopies, "shared"
+		}
+		f, err := e.startFleet(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		for _, p := range f.procs {
+			if err := p.ready(ctx); err != nil {
+				return err
+			}
+		}
+		e.Phase("killed and started again in the rush, "+name, e.Duration/2)
+		warm, cancel := context.WithTimeout(ctx, 2*time.Second)
+		f.crowds(warm, name+"warm", 20, ledger)
+		cancel()
+		for _, b := range f.boxes[:2] {
+			f.note("%s dies", b.Name())
+			b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+		}
+		var again, others *standin.Crowd
+		most := 0.0
+		for round := 0; round < int(e.Duration/2/(first+time.Second)); round++ {
+			back := map[int]bool{3 + 2*round%7: true, 4 + 2*round%6: true}
+			for i := range back {
+				f.procs[i].end()
+			}
+			began := time.Now()
+			for i := range back {
+				if err := f.procs[i].start(); err != nil {
+					return err
+				}
+			}
+			for i := range back {
+				if err := f.procs[i].ready(ctx); err != nil {
+					return err
+				}
+			}
+			most = max(most, time.Since(began).Seconds())
+			load, cancel := context.WithTimeout(ctx, first)
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			for _, p := range f.procs {
+				all.Go(func() {
+					c := standin.RunClients(load, standin.ClientConfig{
+						Name: fmt.Sprint(name, round, p.name), Addr: p.prog.Addr("farm"), Host: "farm.example.org", Rate: 30, Tries: 1,
+						Classes: []standin.ClassLoad{deliveryOrder, meterBooking, allocationCheck}, Ledger: ledger, Seed: e.Seed<<16 + uint64(p.i*100+round),
+					})
+					mu.Lock()
+					defer mu.Unlock()
+					to := &others
+					if back[p.i] {
+						to = &again
+					}
+					if *to == nil {
+						*to = c
+					} else {
+						*to = (*to).With(c)
+					}
+				})
+			}
+			all.Wait()
+			cancel()
+		}
+		sent := int64(0)
+		for _, b := range f.boxes {
+			sent += b.Lost()
+		}
+		f.stop()
+		e.Measure(name+"_started_s", most)
+		e.Measure(name+"_dead_sends", float64(sent))
+		e.Measure(name+"_served_first", again.Share())
+		e.Measure(name+"_served_neighbours", others.Share())
+		e.Measure(name+"_ops_first", float64(again.Ops()))
+		served[name] = others.Share() - again.Share()
+	}
+	e.Measure("behind_alone", served["alone"])
+	e.AtMost("behind", served["shared"], 0.03) // of some 600 requests: 0.01 over many seeds
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
+
 func replicaSplit(ctx context.Context, e *Env) error {
 	ledger := standin.NewLedger()
 	f, err := e.startFleet(ctx, fleetConfig{processes: 10, voters: 3, nboxes: 6, copies: usualCopies, ledger: ledger})
