Take a server that the fleet returns to for cold, whatever the list says; boxes that fall

A return used a tenth, a quarter, a half of a zone's servers, and each of those at once with its full part: all processes begin to use it at one moment, and where no list says when a server was started (plain services, a zone that was only cut off) nothing paced what each of them gets (pool.Avoid had it be like any other).

A server that was avoided and is not any more counts as started then; so do those in use of a zone that is being returned to, for a process that has just started. The module's slow start paces them, without a line in policy.

--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -44,6 +44,7 @@
 	zone              func(i int) string         // of a process, or nil
 	dealt             bool                       // each process chooses among servers of its own
 	ledger            *standin.Ledger            // of clients, or nil
+	pool              string                     // further sections of the pool
 	lies              func(i int) string         // what a process says is dead though it is not, or nil
 }
 
@@ -189,6 +190,7 @@
 		pool = strings.Replace(pool, "[pools.farm]\n", fmt.Sprintf("[pools.farm]\ninstances = %d\ninstance = %d\n", len(p.f.procs), p.i), 1)
 	}
 	b.WriteString(pool)
+	b.WriteString(p.f.cfg.pool)
 	var council []string
 	for _, q := range p.f.procs[:p.f.cfg.voters] {
 		council = append(council, strconv.Quote(q.name))
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -15,6 +15,10 @@
 		Name: "zone-leave", Duration: 24 * time.Second, Run: zoneLeave,
 		Summary: "a zone of three is lost for five seconds in the rush and returns cold: left as a fleet, and each process alone, on the same seed",
 	})
+	Register(Scenario{
+		Name: "zone-return", Duration: 40 * time.Second, Run: zoneReturn,
+		Summary: "a zone comes back cold, and its boxes fall when they are sent more than they bear then: returned to as a fleet, and by each alone",
+	})
 	Register(Scenario{
 		Name: "zone-torn", Duration: 16 * time.Second, Run: zoneTorn,
 		Summary: "what only looks like a lost zone: half of its servers dead, servers of all zones dead alike, members that are cut off: nothing is left",
@@ -42,13 +46,17 @@
 
 // zoneFleet starts twelve processes in three zones, with three boxes in each, which are cold at their start.
 func (e *Env) zoneFleet(ctx context.Context, ledger *standin.Ledger, zones bool, voters int) (*fleet, error) {
+	return e.zoneFleetOf(ctx, ledger, zones, zoneProcesses, voters, "", func(b *standin.BoxConfig) { b.Service, b.Cores, b.Queue = 40*time.Millisecond, 2, 200 })
+}
+
+func (e *Env) zoneFleetOf(ctx context.Context, ledger *standin.Ledger, zones bool, processes, voters int, pool string, box func(*standin.BoxConfig)) (*fleet, error) {
 	n := 0
 	cfg := fleetConfig{
-		processes: zoneProcesses, voters: voters, nboxes: zoneBoxes, ledger: ledger, dealt: true, copies: usualCopies,
+		processes: processes, voters: voters, nboxes: zoneBoxes, ledger: ledger, dealt: true, copies: usualCopies, pool: pool, plain: pool != "",
 		zone: func(i int) string { return labZones[i%3] },
 		box: func(b *standin.BoxConfig) {
 			b.Zone = labZones[n%3]
-			b.Service, b.Cores, b.Queue = 40*time.Millisecond, 2, 200
+			box(b)
 			n++
 		},
 	}
@@ -198,6 +206,82 @@
 	return nil
 }
 
+// zoneReturn loses a zone whose boxes come back cold, and fall when they are sent more than they bear then. No list says when they were started:
+// what a process knows is that they were away.
+func zoneReturn(ctx context.Context, e *Env) error {
+	const ramp = 4 * time.Second
+	served := map[bool]float64{}
+	for _, together := range []bool{false, true} {
+		ledger := standin.NewLedger()
+		f, err := e.zoneFleetOf(ctx, ledger, together, 30, 3, fmt.Sprintf("[pools.farm.safety]\ncold_from = 0.1\nramp = %q\n", ramp), func(b *standin.BoxConfig) {
+			b.Service, b.Cores, b.Queue = 20*time.Millisecond, 2, 200
+			b.ColdFrom, b.Ramp, b.Falls, b.Reports = 0.1, ramp, 1500*time.Millisecond, standin.NoReports
+		})
+		if err != nil {
+			return err
+		}
+		name := "alone"
+		if together {
+			name = "together"
+		}
+		length := e.Duration / 2
+		e.Phase("a zone is lost, and its boxes fall when they get too much while cold, "+name, length)
+		load, cancel := context.WithTimeout(ctx, length)
+		var back time.Time
+		went := make(chan struct{})
+		go func() {
+			defer close(went)
+			pause(load, 2*time.Second)
+			f.note("zone b is lost")
+			for _, b := range f.inZone("b") {
+				b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+			}
+			pause(load, 4*time.Second)
+			f.note("zone b is back, cold")
+			back = time.Now()
+			for _, b := range f.inZone("b") {
+				b.Chill()
+				b.SetFault(standin.Fault{})
+			}
+			<-load.Done()
+		}()
+		crowd := f.crowds(load, name, 18, ledger)
+		cancel()
+		<-went
+		falls, most, lost, used := int64(0), 0.0, int64(0), int64(0)
+		for _, b := range f.boxes {
+			n, hot := b.Falls()
+			falls, most = falls+n, max(most, hot)
+			lost += b.Lost()
+		}
+		for _, b := range f.inZone("b") {
+			used += b.Served()
+		}
+		e.Measure(name+"_dead_sends", float64(lost))
+		e.Measure(name+"_most_cold_share", most)
+		e.Measure(name+"_served_by_zone", float64(used))
+		e.Measure(name+"_cold_overload", float64(falls))
+		served[together] = crowd.Share()
+		e.crowd(name+"_", crowd)
+		if together {
+			e.AtMost("cold_overload", float64(falls), 0)
+			all := f.followed(0, back)
+			if len(all) < len(f.procs) {
+				e.Broken("%d of %d processes use the zone again", len(all), len(f.procs))
+			} else {
+				e.Measure("returned_s", all[len(all)-1].Sub(back).Seconds())
+			}
+		}
+		f.stop()
+		v := e.Rules(ledger)
+		e.AtLeast(name+"_answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+		e.AtMost(name+"_duplicates", float64(v.Doubled), 0)
+	}
+	e.Measure("served_alone", served[false])
+	e.AtLeast("served", served[true], served[false]-0.002)
+	return nil
+}
+
 func zoneTorn(ctx context.Context, e *Env) error {
 	ledger := standin.NewLedger()
 	f, err := e.zoneFleet(ctx, ledger, true, 3)
--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -34,8 +34,10 @@
 }
 
 // Avoid has the servers named take nothing new, though the list names them ready, as if it said that they drain, until another call leaves
-// them out. It does so with none of them, and returns false, where no ready server would be left.
-func (p *Pool) Avoid(servers map[string]bool) (done bool) {
+// them out. It does so with none of them, and returns false, where no ready server would be left. One that was avoided and is not any more, and
+// those of returning, which the fleet has just begun to use again, count as started then, since nobody has sent them anything for a while: no list
+// need say so, and all processes together would else push them over.
+func (p *Pool) Avoid(servers, returning map[string]bool) (done bool) {
 	p.event(func(now policy.Time) {
 		left := 0
 		for id, e := range p.entries {
@@ -44,13 +46,24 @@
 			}
 		}
 		if done = left > 0 || len(p.entries) == 0; !done {
-			servers = nil
+			servers, returning = nil, nil
 		}
 		before := p.avoided
 		p.avoided = servers
 		var changed []policy.Server
 		for id, e := range p.entries {
-			if before[string(id)] != servers[string(id)] {
+			_, had := p.returned[string(id)]
+			back := !servers[string(id)] && (before[string(id)] || returning[string(id)] && !had)
+			switch {
+			case back && p.settings.Config.Ramp > 0:
+				if p.returned == nil {
+					p.returned = map[string]policy.Time{}
+				}
+				p.returned[string(id)] = max(now, 1)
+			case servers[string(id)]:
+				delete(p.returned, string(id))
+			}
+			if back || before[string(id)] != servers[string(id)] {
 				changed = append(changed, p.listed(e))
 			}
 		}
@@ -69,6 +82,9 @@
 	if s.State == policy.Ready && p.avoided[e.Host] {
 		s.State = policy.Draining
 	}
+	if at, is := p.returned[e.Host]; is && (s.Started == 0 || s.Started < at) {
+		s.Started = at
+	}
 	return s
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -126,6 +126,7 @@
 	silent    func(server string, is bool)
 	said      map[policy.ServerID]bool // that silent was told of
 	avoided   map[string]bool          // servers that take nothing new, by order
+	returned  map[string]policy.Time   // servers that were avoided, and since when they are not
 }
 
 // request is one request of a client, from its last byte until all its attempts are back.
@@ -541,7 +542,7 @@
 // process may stand at its address by now.
 func (p *Pool) setPeer(id policy.ServerID, s policy.Server, e source.Entry) {
 	to := p.peers[id]
-	if to != nil && (s.State == policy.Gone || to.Addr() != e.Dial || to.Started() != s.Started) {
+	if to != nil && (s.State == policy.Gone || to.Addr() != e.Dial || to.Started() != p.started(e.BornMs)) {
 		delete(p.peers, id)
 		p.up.Retire(to)
 		to = nil
@@ -551,8 +552,9 @@
 	switch {
 	case s.State == policy.Gone:
 		delete(p.entries, id)
+		delete(p.returned, string(id))
 	case to == nil:
-		p.peers[id] = upstream.NewPeer(e.Dial, s.Started)
+		p.peers[id] = upstream.NewPeer(e.Dial, p.started(e.BornMs))
 	case s.State == policy.Draining:
 		p.up.HangUp(to)
 	}
--- /dev/null
+++ b/internal/pool/returned_test.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/proc"
+	"sorrelrudder/internal/settings"
+	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/upstream"
+	"sorrelrudder/policy"
+)
+
+// TestReturned: a server that was avoided and is not any more counts as started then, also after further lists, until the list names a later start;
+// so does one of a zone that the fleet has begun to use again, for a process that has just started. Its connections are not taken for a restarted one's.
+func TestReturned(t *testing.T) {
+	cfg := policy.Config{
+		GroupSize: 1, MaxAttempts: 1, AskEvery: time.Minute, Tick: time.Millisecond, Ramp: time.Minute, ColdFrom: 0.1,
+		Classes: []policy.Class{{Name: "a", Aim: time.Second, Deadline: time.Second}},
+	}
+	src := scripted{make(chan *source.List), make(chan struct{}, 1)}
+	p, err := New(Config{Settings: settings.Settings{Config: cfg}, Source: src, Known: listed(1, true, "a", "b", "c")},
+		upstream.New(cfg, proc.NewDescriptors(64).Pool(1)), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	told := func(host string) policy.Server {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.listed(p.entries[policy.ServerID(host)])
+	}
+	only := func(names ...string) map[string]bool {
+		all := map[string]bool{}
+		for _, n := range names {
+			all[n] = true
+		}
+		return all
+	}
+	if !p.Avoid(only("b"), nil) || told("b").State != policy.Draining || told("b").Started != 0 {
+		t.Fatalf("%+v", told("b"))
+	}
+	if !p.Avoid(nil, nil) || told("b").State != policy.Ready || told("b").Started == 0 || told("a").Started != 0 {
+		t.Fatalf("%+v, %+v", told("a"), told("b"))
+	}
+	since := told("b").Started
+	peer := p.peers["b"]
+	src.calls <- listed(2, true, "a", "b", "c")
+	<-src.took
+	if got := told("b"); got.Started != since {
+		t.Errorf("after a list %+v, not since %v", got, since)
+	}
+	p.mu.Lock()
+	if p.peers["b"] != peer {
+		t.Error("it is taken for another process")
+	}
+	p.mu.Unlock()
+	if p.Avoid(only("b"), only("c")); told("c").Started == 0 || told("a").Started != 0 {
+		t.Errorf("of a zone that is returned to: %+v", told("c"))
+	}
+	first := told("c").Started
+	if p.Avoid(nil, only("b", "c")); told("c").Started != first || told("b").Started < since {
+		t.Errorf("%+v, %+v", told("b"), told("c"))
+	}
+	if p.Avoid(only("a", "b", "c"), nil); told("c").State != policy.Ready {
+		t.Error("no server is left")
+	}
+	l := listed(3, true, "a", "b", "c")
+	l.Hosts[1].BornMs = time.Now().Add(time.Second).UnixMilli()
+	src.calls <- l
+	<-src.took
+	if got := told("b").Started; got <= since {
+		t.Errorf("the list names a later start, and it counts from %v", got)
+	}
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -92,6 +93,9 @@
 	Answer   int // bytes of an answer, at least
 	Reports  Reports
 	Acts     *Acts // what requests with a fencing token act on, or nil
+	// Falls: one that is cold and is sent more within a second than it bears then answers nothing for so long, and is cold again. 0: never. It
+	// starts warm, and judges itself: the ledger does not, since no list need say when it was started.
+	Falls time.Duration
 }
 
 // Box is a stand-in for a server that does work. It listens on a loopback address.
@@ -107,8 +111,12 @@
 	conns  atomic.Int64
 	fault  atomic.Pointer[Fault]
 	drains atomic.Bool
+	falls  atomic.Int64
+	down   atomic.Int64 // it has fallen until then, in Unix nanoseconds
 
 	mu   sync.Mutex
+	came []time.Time // requests of the last second, while it was cold
+	hot  float64     // the most of them beside what it bore
 	rng  *rand.Rand
 	open map[net.Conn]struct{}
 	shut bool
@@ -136,7 +144,11 @@
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), open: map[net.Conn]struct{}{},
 	}
 	b.fault.Store(&Fault{})
-	b.Chill()
+	if cfg.Falls > 0 {
+		b.born.Store(time.Now().Add(-cfg.Ramp).UnixNano())
+	} else {
+		b.Chill()
+	}
 	b.done.Go(b.accept)
 	return b
 }
@@ -172,7 +184,7 @@
 func (b *Box) Chill() {
 	cfg := b.cfg
 	b.born.Store(time.Now().UnixNano())
-	if cfg.Ramp > 0 && cfg.Ledger != nil {
+	if cfg.Ramp > 0 && cfg.Ledger != nil && cfg.Falls == 0 {
 		full := float64(cfg.Cores) / cfg.Service.Seconds()
 		cfg.Ledger.Born(cfg.Name, time.Second, func(age, window time.Duration) float64 {
 			share := min(1, cfg.ColdFrom+(1-cfg.ColdFrom)*float64(age+window)/float64(cfg.Ramp))
@@ -181,6 +193,46 @@
 	}
 }
 
+// share is the part of its speed that the box has at an age.
+func (b *Box) share(age time.Duration) float64 {
+	return min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*float64(age)/float64(b.cfg.Ramp))
+}
+
+// burden notes a request, and has the box fall if it is cold and they were too many: N + 3 root of N + 3 in a second, N being what it does then.
+func (b *Box) burden() {
+	now := time.Now()
+	age := now.Sub(time.Unix(0, b.born.Load()))
+	if b.cfg.Ramp <= 0 || b.fault.Load().Kind == Dead || now.UnixNano() < b.down.Load() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.came = append(b.came, now)
+	for len(b.came) > 0 && now.Sub(b.came[0]) > time.Second {
+		b.came = b.came[1:]
+	}
+	if age >= b.cfg.Ramp {
+		return
+	}
+	n := float64(b.cfg.Cores) / b.cfg.Service.Seconds() * b.share(age)
+	bears := n + 3*math.Sqrt(n) + 3
+	b.hot = max(b.hot, float64(len(b.came))/bears)
+	if float64(len(b.came)) <= bears {
+		return
+	}
+	b.falls.Add(1)
+	b.came = nil
+	b.down.Store(now.Add(b.cfg.Falls).UnixNano())
+	b.born.Store(now.Add(b.cfg.Falls).UnixNano())
+}
+
+// Falls is how often the box was pushed over while it was cold; most the largest share of what it bore then that it was ever sent.
+func (b *Box) Falls() (n int64, most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.falls.Load(), b.hot
+}
+
 // Lost is how many requests have come while the box was dead.
 func (b *Box) Lost() int64 { return b.lost.Load() }
 
@@ -247,8 +299,12 @@
 		if err != nil || len(body) > mostBody {
 			return
 		}
-		if b.fault.Load().Kind == Dead {
-			if q.URL.Path != "/load" && q.URL.Path != "/healthz" {
+		work := q.URL.Path != "/load" && q.URL.Path != "/healthz"
+		if work && b.cfg.Falls > 0 {
+			b.burden()
+		}
+		if b.fault.Load().Kind == Dead || time.Now().UnixNano() < b.down.Load() {
+			if work {
 				b.lost.Add(1)
 				if b.cfg.Ledger != nil {
 					b.cfg.Ledger.Arrived(b.cfg.Name, q.Header.Get("X-Request-Id"))
@@ -381,7 +437,7 @@
 	work := func() {
 		share := 1.0
 		if b.cfg.Ramp > 0 {
-			share = min(1, b.cfg.ColdFrom+(1-b.cfg.ColdFrom)*float64(time.Since(time.Unix(0, b.born.Load())))/float64(b.cfg.Ramp))
+			share = b.share(time.Since(time.Unix(0, b.born.Load())))
 		}
 		time.Sleep(time.Duration((0.5 + draw) * float64(b.cfg.Service) / max(share, 0.01)))
 		if b.cfg.Ledger != nil && effect != Safe {
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -29,7 +29,7 @@
 type Pools interface {
 	OnSilent(f func(pool, server string, is bool))
 	Hint(pool, server string)
-	Avoid(pool string, servers map[string]bool) (done bool)
+	Avoid(pool string, servers, returning map[string]bool) (done bool)
 	PoolNames() []string
 	Servers(pool string) (zones map[string]string) // by the server's name
 	Look(pool, server string) (answers bool)
@@ -63,11 +63,11 @@
 	ordered  bool          // the orders in force have changed
 	foreign  bool          // a peer of another format was told of
 	whole    time.Duration // the newest moment up to which all that was decided is known to be here; below 0: none
-	avoiding map[string]map[string]bool
-	work     chan struct{}              // something of the next two is there
-	hints    map[string]bool            // servers to be hinted at
-	due      map[string]map[string]bool // orders to be carried out, by pool
-	kept     map[string]bool            // pools whose orders can't be carried out: no ready server would be left
+	avoiding map[string]orders
+	work     chan struct{}     // something of the next two is there
+	hints    map[string]bool   // servers to be hinted at
+	due      map[string]orders // to be carried out, by pool
+	kept     map[string]bool   // pools whose orders can't be carried out: no ready server would be left
 	loaded   int
 	hinted   int
 	zones    zones
@@ -98,9 +98,9 @@
 	now := t.clock.Now()
 	k := &copies{
 		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), nudge: make(chan struct{}, 1), whole: -1,
-		avoiding: map[string]map[string]bool{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
+		avoiding: map[string]orders{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
 		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}}, looked: map[string]bool{},
-		hints: map[string]bool{}, due: map[string]map[string]bool{}, saveAt: now + saveEvery,
+		hints: map[string]bool{}, due: map[string]orders{}, saveAt: now + saveEvery,
 	}
 	if err := k.load(now, t.cfg.Name); err != nil {
 		return err
@@ -238,16 +238,16 @@
 	hints := k.evidence.Hints(k.node)
 	k.stirred = len(hints) > 0 || k.evidence.Own() > 0 // hints are given again while they stand, and what was seen here ages
 	k.hinted += len(hints)
-	var orders map[string]map[string]bool
+	var due map[string]orders
 	if k.ordered {
 		k.ordered = false
-		orders = k.ordersByPool()
+		due = k.ordersByPool()
 	}
 	for _, key := range hints {
 		k.hints[key] = true
 	}
-	maps.Copy(k.due, orders)
-	if len(hints)+len(orders) > 0 {
+	maps.Copy(k.due, due)
+	if len(hints)+len(due) > 0 {
 		select {
 		case k.work <- struct{}{}:
 		default: // it will find them
@@ -266,10 +266,10 @@
 		case <-k.work:
 		}
 		t.mu.Lock()
-		hints, orders := k.hints, k.due
-		k.hints, k.due = map[string]bool{}, map[string]map[string]bool{}
+		hints, due := k.hints, k.due
+		k.hints, k.due = map[string]bool{}, map[string]orders{}
 		t.mu.Unlock()
-		t.carryOut(orders)
+		t.carryOut(due)
 		for _, key := range slices.Sorted(maps.Keys(hints)) {
 			if pool, server, ok := replica.ServerOf(key); ok {
 				k.pools.Hint(pool, server)
@@ -278,28 +278,38 @@
 	}
 }
 
-// ordersByPool are the servers that are to be avoided, by pool; a pool that had orders and has none is there with none.
-func (k *copies) ordersByPool() map[string]map[string]bool {
-	next := map[string]map[string]bool{}
+// orders are what a pool is to do: send nothing new to some servers, and take others, which the fleet has begun to use again, for cold.
+type orders struct{ avoid, returning map[string]bool }
+
+func (o orders) equal(p orders) bool {
+	return maps.Equal(o.avoid, p.avoid) && maps.Equal(o.returning, p.returning)
+}
+
+// ordersByPool are the orders that have changed, by pool; a pool that had some and has none is there with none.
+func (k *copies) ordersByPool() map[string]orders {
+	next := map[string]orders{}
+	at := func(pool string) orders {
+		if next[pool].avoid == nil {
+			next[pool] = orders{map[string]bool{}, map[string]bool{}}
+		}
+		return next[pool]
+	}
 	k.node.Copies().All(council.OrderKind+"/", func(e *replica.Entry) bool {
 		if pool, server, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
-			if next[pool] == nil {
-				next[pool] = map[string]bool{}
-			}
-			next[pool][server] = true
+			at(pool).avoid[server] = true
 		}
 		return true
 	})
-	k.addZones(next)
-	out := map[string]map[string]bool{}
-	for pool, servers := range next {
-		if !maps.Equal(servers, k.avoiding[pool]) {
-			out[pool] = servers
+	k.addZones(at)
+	out := map[string]orders{}
+	for pool, o := range next {
+		if !o.equal(k.avoiding[pool]) {
+			out[pool] = o
 		}
 	}
 	for pool := range k.avoiding {
-		if next[pool] == nil {
-			out[pool] = map[string]bool{}
+		if next[pool].avoid == nil {
+			out[pool] = orders{}
 		}
 	}
 	k.avoiding = next
@@ -307,11 +317,11 @@
 }
 
 // carryOut has the pools avoid what is ordered.
-func (t *Tier) carryOut(orders map[string]map[string]bool) {
+func (t *Tier) carryOut(due map[string]orders) {
 	k := t.copies
-	for _, pool := range slices.Sorted(maps.Keys(orders)) {
-		done := k.pools.Avoid(pool, orders[pool])
-		names := slices.Sorted(maps.Keys(orders[pool]))
+	for _, pool := range slices.Sorted(maps.Keys(due)) {
+		done := k.pools.Avoid(pool, due[pool].avoid, due[pool].returning)
+		names := slices.Sorted(maps.Keys(due[pool].avoid))
 		if done {
 			t.log.Info("orders are carried out", "pool", pool, "avoided", names)
 		} else {
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -245,8 +245,8 @@
 	return before < lookers
 }
 
-// addZones adds to what is avoided by order the servers of zones that are not wholly in use.
-func (k *copies) addZones(next map[string]map[string]bool) {
+// addZones adds to a pool's orders those about zones that are not wholly in use.
+func (k *copies) addZones(at func(pool string) orders) {
 	for pool, list := range k.zones.lists {
 		states, _ := k.decidedZones(pool)
 		if len(states) == 0 {
@@ -256,11 +256,13 @@
 		for server, zone := range list {
 			servers = append(servers, evacuate.Server{Name: server, Zone: zone})
 		}
-		for server := range evacuate.Avoided(servers, states) {
-			if next[pool] == nil {
-				next[pool] = map[string]bool{}
+		avoid := evacuate.Avoided(servers, states)
+		for _, x := range servers {
+			if s, is := states[x.Zone]; avoid[x.Name] {
+				at(pool).avoid[x.Name] = true
+			} else if is && s.Step < evacuate.Steps {
+				at(pool).returning[x.Name] = true
 			}
-			next[pool][server] = true
 		}
 	}
 }
@@ -286,7 +288,7 @@
 		count, avoided := map[string]int{}, map[string]int{}
 		for server, zone := range k.zones.lists[pool] {
 			count[zone]++
-			if k.avoiding[pool][server] {
+			if k.avoiding[pool].avoid[server] {
 				avoided[zone]++
 			}
 		}
