The scene of a pool's zones as a pure piece, for the program and virtual time alike

The host read the scene out of the copies, chose who looks and made the council's command itself (tier/zones.go), so that the explorer could not play it. internal/zonal has it now, without I/O or clock; what the council has decided is looked up at its owner in place of all owners (Copies.Of).

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -101,7 +101,7 @@
 			for _, heavy := range []string{
 				"github.com/", "google.golang.org/", "go.uber.org/", "pgregory.net/", "sorrelrudder/internal/lab", "sorrelrudder/internal/emulator", "sorrelrudder/internal/opfile",
 				"sorrelrudder/internal/standin", "sorrelrudder/internal/plain", "sorrelrudder/internal/classify", "sorrelrudder/internal/h2", "sorrelrudder/internal/tlsfiles", "golang.org/x/net/", "sorrelrudder/internal/hop", "sorrelrudder/internal/bridge",
-				"go.etcd.io/", "sorrelrudder/internal/lease", "sorrelrudder/internal/task", "sorrelrudder/internal/replica", "sorrelrudder/internal/evacuate", "sorrelrudder/internal/council", "sorrelrudder/internal/tier", "sorrelrudder/internal/explore",
+				"go.etcd.io/", "sorrelrudder/internal/lease", "sorrelrudder/internal/task", "sorrelrudder/internal/replica", "sorrelrudder/internal/evacuate", "sorrelrudder/internal/zonal", "sorrelrudder/internal/council", "sorrelrudder/internal/tier", "sorrelrudder/internal/explore",
 			} {
 				if strings.HasPrefix(p, heavy) {
 					t.Errorf("%s links %s", command, p)
@@ -137,10 +137,11 @@
 	"internal/lease":     {},
 	"internal/replica":   {},
 	"internal/evacuate":  {},
+	"internal/zonal":     {"internal/council", "internal/evacuate", "internal/replica"},
 	"internal/task":      {},
 	"internal/council":   {"internal/lease", "internal/replica", "internal/task"},
-	"internal/explore":   {"internal/council", "internal/lease", "internal/replica", "internal/task"},
-	"internal/tier":      {"internal/council", "internal/evacuate", "internal/lease", "internal/message", "internal/replica", "internal/task"},
+	"internal/explore":   {"internal/council", "internal/evacuate", "internal/lease", "internal/replica", "internal/task", "internal/zonal"},
+	"internal/tier":      {"internal/council", "internal/evacuate", "internal/lease", "internal/message", "internal/replica", "internal/task", "internal/zonal"},
 	"internal/admin":     {"internal/figures"},
 	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
 	"internal/keep":      {},
@@ -166,7 +167,7 @@
 }
 
 // pure modules read no clock, open nothing and start nothing.
-var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally", "internal/emulator", "internal/lease", "internal/task", "internal/council", "internal/replica", "internal/evacuate"}
+var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally", "internal/emulator", "internal/lease", "internal/task", "internal/council", "internal/replica", "internal/evacuate", "internal/zonal"}
 
 // TestImports holds the rules of docs/ARCHITECTURE.md.
 func TestImports(t *testing.T) {
--- a/internal/replica/copies.go
+++ b/internal/replica/copies.go
@@ -249,6 +249,19 @@
 	}
 }
 
+// Of calls f with each entry of one owner whose key begins with prefix, by key, until it returns false.
+func (c *Copies) Of(name, prefix string, f func(*Entry) bool) {
+	o := c.owners[name]
+	if o == nil {
+		return
+	}
+	for _, key := range slices.Sorted(maps.Keys(o.entries)) {
+		if strings.HasPrefix(key, prefix) && !f(o.entries[key]) {
+			return
+		}
+	}
+}
+
 // Sum is that of all entries of a kind: equal copies have equal ones.
 func (c *Copies) Sum(kind string) uint64 { return c.sums[kind].top }
 
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -14,6 +14,7 @@
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/replica"
+	"sorrelrudder/internal/zonal"
 )
 
 // CopiesConfig is what a process is told of the state that the fleet's processes share.
@@ -90,7 +91,7 @@
 	}
 	cfg := replica.Usual()
 	cfg.Name, cfg.Members = t.cfg.Name, slices.Sorted(maps.Keys(t.cfg.Members))
-	cfg.Kinds, cfg.Decided = []string{replica.DeadKind, lookKind}, council.DecidedKinds
+	cfg.Kinds, cfg.Decided = []string{replica.DeadKind, zonal.LookKind}, council.DecidedKinds
 	cfg.Gossip, cfg.Probe, cfg.Sync, cfg.Keep, cfg.Fanout, cfg.Budget = c.Gossip, c.Probe, c.Sync, c.Keep, c.Fanout, c.Budget
 	h := fnv.New64a()
 	h.Write([]byte(t.keeper.Start()))
@@ -126,7 +127,7 @@
 		t.done.Go(t.carry)
 		t.done.Go(t.watchZones)
 		if t.cfg.Zones != nil && t.cfg.Zones.Automatic != ZonesOff {
-			t.keeper.Want(zonesLease, 1)
+			t.keeper.Want(zonal.Lease, 1)
 		}
 	}
 	return nil
@@ -438,7 +439,7 @@
 		s.Members[name] = k.node.Member(name).State.String()
 	}
 	s.Zones = k.zonesStatus()
-	for _, kind := range append([]string{replica.DeadKind, lookKind}, council.DecidedKinds...) {
+	for _, kind := range append([]string{replica.DeadKind, zonal.LookKind}, council.DecidedKinds...) {
 		s.Sums[kind] = k.node.Copies().Sum(kind)
 	}
 	for pool, kept := range k.kept {
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -1,9 +1,7 @@
 package tier
 
 import (
-	"cmp"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"strings"
@@ -12,6 +10,7 @@
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/replica"
+	"sorrelrudder/internal/zonal"
 )
 
 // ZonesConfig is what a process is told of leaving zones.
@@ -29,11 +28,8 @@
 )
 
 const (
-	zonesLease = "zones" // whose holder decides
-	lookKind   = "look"  // of entries that tell whether a member gets answers from a zone that is not wholly in use
 	judgeEvery = 200 * time.Millisecond
 	listEvery  = 500 * time.Millisecond // between two looks at the pools' lists, and at zones that were left
-	lookers    = 5                      // members that look at a zone, at most, all together
 )
 
 // zones is a process' part in leaving zones. All of it is under the tier's mu.
@@ -48,61 +44,6 @@
 	causes  map[string]evacuate.Cause
 }
 
-// decidedZones are what is decided of a pool's zones, and the numbers of the decisions.
-func (k *copies) decidedZones(pool string) (states map[string]evacuate.State, numbers map[string]uint64) {
-	states, numbers = map[string]evacuate.State{}, map[string]uint64{}
-	k.node.Copies().All(council.ZoneKind+"/", func(e *replica.Entry) bool {
-		p, zone, ok := replica.ServerOf(e.Key)
-		if !ok || p != pool {
-			return true
-		}
-		numbers[zone] = e.Seq
-		worst, any := evacuate.State{Step: evacuate.Steps}, false
-		for _, v := range e.Values() { // of several contents of one version the one that uses least
-			if s, err := evacuate.Decode(string(v)); err == nil && (!any || s.Step < worst.Step) {
-				worst, any = s, true
-			}
-		}
-		if any {
-			states[zone] = worst
-		}
-		return true
-	})
-	return states, numbers
-}
-
-// scene is what is known of a pool.
-func (k *copies) scene(t *Tier, pool string) evacuate.Scene {
-	s := evacuate.Scene{Zones: map[string]string{}, Members: len(t.cfg.Members)}
-	for server, zone := range k.zones.lists[pool] {
-		s.Servers = append(s.Servers, evacuate.Server{Name: server, Zone: zone})
-	}
-	slices.SortFunc(s.Servers, func(a, b evacuate.Server) int { return cmp.Compare(a.Name, b.Name) })
-	for name := range t.cfg.Members {
-		if st := k.node.Member(name).State; st == replica.Alive {
-			s.Zones[name] = k.zones.cfg.Members[name]
-		}
-	}
-	k.node.Copies().All(replica.DeadKind+"/"+pool+"/", func(e *replica.Entry) bool {
-		if _, server, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
-			s.Words = append(s.Words, evacuate.Word{Member: e.Owner, Server: server})
-		}
-		return true
-	})
-	k.node.Copies().All(lookKind+"/"+pool+"/", func(e *replica.Entry) bool {
-		if _, zone, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
-			answers := true
-			for _, v := range e.Values() {
-				answers = answers && string(v) == "1"
-			}
-			s.Looks = append(s.Looks, evacuate.Look{Member: e.Owner, Zone: zone, Answers: answers})
-		}
-		return true
-	})
-	s.Decided, _ = k.decidedZones(pool)
-	return s
-}
-
 // judge has the holder of the lease decide of zones, one change at a time. The caller has mu.
 func (t *Tier) judge(now time.Duration) {
 	k := t.copies
@@ -111,7 +52,7 @@
 		return
 	}
 	z.judgeAt = now + judgeEvery
-	token, _, held := t.keeper.Holding(now, zonesLease)
+	token, _, held := t.keeper.Holding(now, zonal.Lease)
 	if !held {
 		clear(z.keepers) // whoever holds it next begins anew
 		return
@@ -120,7 +61,7 @@
 		if z.keepers[pool] == nil {
 			z.keepers[pool] = evacuate.NewKeeper(z.cfg.Rules)
 		}
-		scene := k.scene(t, pool)
+		scene := zonal.Scene(k.node, z.cfg.Members, pool, z.lists[pool])
 		change, causes := z.keepers[pool].Next(now, scene)
 		for zone, cause := range causes {
 			key := pool + "/" + zone
@@ -142,9 +83,9 @@
 			}
 			continue
 		}
-		_, numbers := k.decidedZones(pool)
 		z.asking, z.askedAt = true, now
-		t.call(&call{q: council.Request{Order: &council.OrderCommand{Key: key, Value: change.State.Encode(), Token: token, After: numbers[change.Zone]}}, then: func(r council.Response) {
+		command := zonal.Command(k.node, pool, *change, token)
+		t.call(&call{q: council.Request{Order: &command}, then: func(r council.Response) {
 			z.asking = false
 			if r.Order == nil || r.Order.Why != "" {
 				return // it is looked at again
@@ -185,24 +126,11 @@
 	}
 	k.zones.lists = lists
 	wanted := map[string]bool{}
-	for pool, list := range lists {
-		states, _ := k.decidedZones(pool)
-		for zone, s := range states {
-			if s.Step >= evacuate.Steps || !k.looksAt(t, zone) {
-				continue
-			}
-			var of []string
-			for server, in := range list {
-				if in == zone {
-					of = append(of, server)
-				}
-			}
-			if len(of) > 0 {
-				slices.Sort(of)
-				k.turns++
-				looks = append(looks, look{pool, zone, of[k.turns%len(of)]})
-				wanted[replica.ServerKey(lookKind, pool, zone)] = true
-			}
+	for _, pool := range slices.Sorted(maps.Keys(lists)) {
+		k.turns++
+		for zone, server := range zonal.Looks(k.node, t.cfg.Members, t.cfg.Name, pool, lists[pool], k.turns) {
+			looks = append(looks, look{pool, zone, server})
+			wanted[replica.ServerKey(zonal.LookKind, pool, zone)] = true
 		}
 	}
 	for key := range k.looked {
@@ -215,13 +143,9 @@
 	t.mu.Unlock()
 	for _, l := range looks {
 		answers := k.pools.Look(l.pool, l.server)
-		value := "0"
-		if answers {
-			value = "1"
-		}
 		t.mu.Lock()
-		key := replica.ServerKey(lookKind, l.pool, l.zone)
-		if k.node.Put(key, []byte(value)) {
+		key := replica.ServerKey(zonal.LookKind, l.pool, l.zone)
+		if k.node.Put(key, zonal.LookValue(answers)) {
 			k.looked[key] = true
 		}
 		t.keep()
@@ -229,40 +153,13 @@
 	}
 }
 
-// looksAt reports whether this process is one of those that look at a zone that was left: a few of those that are there, not all.
-func (k *copies) looksAt(t *Tier, zone string) bool {
-	rank := func(name string) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte(name + "/" + zone))
-		return h.Sum64()
-	}
-	mine, before := rank(t.cfg.Name), 0
-	for name := range t.cfg.Members {
-		if name != t.cfg.Name && k.node.Member(name).State == replica.Alive && rank(name) < mine {
-			before++
-		}
-	}
-	return before < lookers
-}
-
 // addZones adds to a pool's orders those about zones that are not wholly in use.
 func (k *copies) addZones(at func(pool string) orders) {
 	for pool, list := range k.zones.lists {
-		states, _ := k.decidedZones(pool)
-		if len(states) == 0 {
-			continue
-		}
-		var servers []evacuate.Server
-		for server, zone := range list {
-			servers = append(servers, evacuate.Server{Name: server, Zone: zone})
-		}
-		avoid := evacuate.Avoided(servers, states)
-		for _, x := range servers {
-			if s, is := states[x.Zone]; avoid[x.Name] {
-				at(pool).avoid[x.Name] = true
-			} else if is && s.Step < evacuate.Steps {
-				at(pool).returning[x.Name] = true
-			}
+		avoid, returning := zonal.Orders(k.node, pool, list)
+		if len(avoid)+len(returning) > 0 {
+			maps.Copy(at(pool).avoid, avoid)
+			maps.Copy(at(pool).returning, returning)
 		}
 	}
 }
@@ -284,7 +181,7 @@
 // zonesStatus tells of all zones. The caller has mu.
 func (k *copies) zonesStatus() (all []ZoneStatus) {
 	for _, pool := range slices.Sorted(maps.Keys(k.zones.lists)) {
-		states, numbers := k.decidedZones(pool)
+		states, numbers := zonal.Decided(k.node, pool)
 		count, avoided := map[string]int{}, map[string]int{}
 		for server, zone := range k.zones.lists[pool] {
 			count[zone]++
--- /dev/null
+++ b/internal/zonal/zonal.go
@@ -0,0 +1,156 @@
+// Package zonal stands between what processes share and what is decided of zones: it reads the scene that evacuate judges out of the copies, says
+// which servers a process leaves out by what was decided, who looks at a zone that was left, and what the holder of the lease asks the council. It
+// has no I/O and no clock, so that the same code runs in the program and in virtual time.
+package zonal
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
+	"sorrelrudder/internal/replica"
+)
+
+const (
+	// Lease is that whose holder decides.
+	Lease = "zones"
+	// LookKind is that of entries which tell whether a member gets answers from a zone that is not wholly in use: "look/POOL/ZONE".
+	LookKind = "look"
+	// Lookers is how many members look at a zone, at most, all together.
+	Lookers = 5
+
+	answers, silent = "1", "0"
+)
+
+// LookValue is what a member writes of its look.
+func LookValue(got bool) []byte {
+	if got {
+		return []byte(answers)
+	}
+	return []byte(silent)
+}
+
+// Decided is what is decided of a pool's zones, and the numbers of the decisions.
+func Decided(n *replica.Node, pool string) (states map[string]evacuate.State, numbers map[string]uint64) {
+	states, numbers = map[string]evacuate.State{}, map[string]uint64{}
+	n.Copies().Of(replica.Council, council.ZoneKind+"/"+pool+"/", func(e *replica.Entry) bool {
+		_, zone, ok := replica.ServerOf(e.Key)
+		if !ok {
+			return true
+		}
+		numbers[zone] = e.Seq
+		worst, any := evacuate.State{Step: evacuate.Steps}, false
+		for _, v := range e.Values() { // of several contents of one version the one that uses least
+			if s, err := evacuate.Decode(string(v)); err == nil && (!any || s.Step < worst.Step) {
+				worst, any = s, true
+			}
+		}
+		if any {
+			states[zone] = worst
+		}
+		return true
+	})
+	return states, numbers
+}
+
+// Scene is what is known of a pool. members are the zones of all members, by name; list those of the servers that the pool's list names ready.
+func Scene(n *replica.Node, members map[string]string, pool string, list map[string]string) evacuate.Scene {
+	s := evacuate.Scene{Zones: map[string]string{}, Members: len(members), Servers: servers(list)}
+	for name, zone := range members {
+		if n.Member(name).State == replica.Alive {
+			s.Zones[name] = zone
+		}
+	}
+	n.Copies().All(replica.DeadKind+"/"+pool+"/", func(e *replica.Entry) bool {
+		if _, server, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
+			s.Words = append(s.Words, evacuate.Word{Member: e.Owner, Server: server})
+		}
+		return true
+	})
+	n.Copies().All(LookKind+"/"+pool+"/", func(e *replica.Entry) bool {
+		if _, zone, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
+			got := true
+			for _, v := range e.Values() {
+				got = got && string(v) == answers
+			}
+			s.Looks = append(s.Looks, evacuate.Look{Member: e.Owner, Zone: zone, Answers: got})
+		}
+		return true
+	})
+	s.Decided, _ = Decided(n, pool)
+	return s
+}
+
+func servers(list map[string]string) []evacuate.Server {
+	all := make([]evacuate.Server, 0, len(list))
+	for server, zone := range list {
+		all = append(all, evacuate.Server{Name: server, Zone: zone})
+	}
+	slices.SortFunc(all, func(a, b evacuate.Server) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Orders are the servers of a pool that are not in use by what is decided of their zones, and those in use of a zone that is being returned to.
+func Orders(n *replica.Node, pool string, list map[string]string) (avoid, returning map[string]bool) {
+	states, _ := Decided(n, pool)
+	if len(states) == 0 {
+		return nil, nil
+	}
+	all := servers(list)
+	avoid, returning = evacuate.Avoided(all, states), map[string]bool{}
+	for _, x := range all {
+		if s, is := states[x.Zone]; is && s.Step < evacuate.Steps && !avoid[x.Name] {
+			returning[x.Name] = true
+		}
+	}
+	return avoid, returning
+}
+
+// LooksAt reports whether a member is one of those that look at a zone that was left: a few of those that are there to it, not all.
+func LooksAt[V any](n *replica.Node, members map[string]V, name, zone string) bool {
+	rank := func(name string) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(name + "/" + zone))
+		return h.Sum64()
+	}
+	mine, before := rank(name), 0
+	for other := range members {
+		if other != name && n.Member(other).State == replica.Alive && rank(other) < mine {
+			before++
+		}
+	}
+	return before < Lookers
+}
+
+// Looks are the zones of a pool at which a member is to look, and at which server of each: another each turn.
+func Looks[V any](n *replica.Node, members map[string]V, name, pool string, list map[string]string, turn int) map[string]string {
+	states, _ := Decided(n, pool)
+	at := map[string]string{}
+	for _, zone := range slices.Sorted(maps.Keys(states)) {
+		if states[zone].Step >= evacuate.Steps || !LooksAt(n, members, name, zone) {
+			continue
+		}
+		var of []string
+		for server, in := range list {
+			if in == zone {
+				of = append(of, server)
+			}
+		}
+		if len(of) > 0 {
+			slices.Sort(of)
+			at[zone] = of[turn%len(of)]
+		}
+	}
+	return at
+}
+
+// Command is what the holder of the lease asks the council for a change, under its token and building on what it knows to be decided.
+func Command(n *replica.Node, pool string, change evacuate.Change, token uint64) council.OrderCommand {
+	_, numbers := Decided(n, pool)
+	return council.OrderCommand{
+		Key: replica.ServerKey(council.ZoneKind, pool, change.Zone), Value: change.State.Encode(), Token: token, After: numbers[change.Zone],
+	}
+}
