Explore zones in virtual time; an operator's word has no second effect

The observer knows the truth and looks at the log: steps, pace, what is left beside another, what each process leaves out.

--- a/cmd/sorrelrudder/explore.go
+++ b/cmd/sorrelrudder/explore.go
@@ -38,6 +38,7 @@
 	Plant string `arg:"" optional:""`
 
 	Copies bool
+	Zones  bool
 }
 
 func (c *workerCmd) Run(s *streams) error {
@@ -45,7 +46,7 @@
 	debug.SetGCPercent(800) // a run has some MB
 	out := json.NewEncoder(s.out)
 	for seed := c.First; seed < c.First+c.Count; seed++ {
-		o := explore.Options{Seed: seed, Plant: explore.Plant(c.Plant), Copies: c.Copies}
+		o := explore.Options{Seed: seed, Plant: explore.Plant(c.Plant), Copies: c.Copies, Zones: c.Zones}
 		got := explore.Run(o)
 		if got.Broken != "" {
 			got = explore.Shrink(o, got, shrinkRuns)
@@ -98,7 +99,7 @@
 	for range max(1, c.Workers) {
 		all.Go(func() {
 			for batch := range next {
-				err := exploreBatchIn(ctx, self, batch, c.Plant, c.Copies || explore.Plant(c.Plant).OfCopies(), func(o explore.Outcome) {
+				err := exploreBatchIn(ctx, self, batch, c.Plant, c.Copies || c.Zones || explore.Plant(c.Plant).OfCopies(), c.Zones || explore.Plant(c.Plant).OfZones(), func(o explore.Outcome) {
 					mu.Lock()
 					defer mu.Unlock()
 					r.Seeds++
@@ -142,7 +143,7 @@
 	return nil
 }
 
-func exploreBatchIn(ctx context.Context, self string, batch [2]uint64, plant string, copies bool, each func(explore.Outcome)) error {
+func exploreBatchIn(ctx context.Context, self string, batch [2]uint64, plant string, copies, zones bool, each func(explore.Outcome)) error {
 	args := []string{"explore-worker", strconv.FormatUint(batch[0], 10), strconv.FormatUint(batch[1], 10)}
 	if plant != "" {
 		args = append(args, plant)
@@ -150,6 +151,9 @@
 	if copies {
 		args = append(args, "--copies")
 	}
+	if zones {
+		args = append(args, "--zones")
+	}
 	cmd := exec.CommandContext(ctx, self, args...)
 	cmd.Stderr = os.Stderr
 	out, err := cmd.StdoutPipe()
@@ -209,7 +213,7 @@
 		o.Faults = []explore.Fault{}
 	}
 	w := bufio.NewWriter(s.out)
-	got := explore.Run(explore.Options{Seed: o.Seed, Copies: o.Copies, Plant: explore.Plant(c.Plant), Faults: o.Faults, Log: w, Trace: c.Verbose})
+	got := explore.Run(explore.Options{Seed: o.Seed, Copies: o.Copies, Zones: o.Zones, Plant: explore.Plant(c.Plant), Faults: o.Faults, Log: w, Trace: c.Verbose})
 	if err := w.Flush(); err != nil {
 		return err
 	}
--- a/cmd/sorrelrudder/main.go
+++ b/cmd/sorrelrudder/main.go
@@ -274,6 +274,7 @@
 	Workers  int           `default:"${cores}" help:"tier-explore: how many processes play them."`
 	Plant    string        `help:"tier-explore: a mistake to plant, which it has to find."`
 	Copies   bool          `help:"tier-explore: the processes also share state, and what must not be of that is looked for too."`
+	Zones    bool          `help:"tier-explore: and leave zones of servers that fail, and return to them."`
 	Sizes    []int         `default:"10,60,300" help:"replica-scale: processes of each fleet."`
 	Loss     []float64     `default:"0,0.1,0.3" help:"replica-scale: shares of all messages that are lost."`
 	Replay   string        `help:"tier-explore: play this saved run, as a time line; -v with each message."`
@@ -288,7 +289,7 @@
 		for _, sc := range lab.List() {
 			fmt.Fprintf(s.out, "%-16s %6s  %s\n", sc.Name, sc.Duration, sc.Summary)
 		}
-		fmt.Fprintf(s.out, "%-16s %6s  %s\n", "tier-explore", "", "fleets in virtual time under drawn faults, thousands of seeds; see --seeds, --plant, --copies, --replay")
+		fmt.Fprintf(s.out, "%-16s %6s  %s\n", "tier-explore", "", "fleets in virtual time under drawn faults, thousands of seeds; see --seeds, --plant, --copies, --zones, --replay")
 		fmt.Fprintf(s.out, "%-16s %6s  %s\n", "replica-scale", "", "shared state in virtual time: how soon all have what one writes, what it costs, how the dead are missed; see --sizes, --loss")
 		return nil
 	}
--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"os"
@@ -410,17 +409,11 @@
 		return fmt.Errorf("%w: no order can be given on the server %q of %q", errDay, c.Server, c.Pool)
 	}
 	return c.ask(func(ctx context.Context, o *tier.Operator) error {
-		r, err := o.Ask(ctx, council.Request{Order: &council.OrderCommand{Key: key, Value: value, Lift: lift}})
+		r, err := o.Order(ctx, council.OrderCommand{Key: key, Value: value, Lift: lift})
 		if err != nil {
 			return err
 		}
-		if r.Order == nil {
-			return tier.ErrNoCouncil
-		}
-		if r.Order.Why != "" {
-			return errors.New(r.Order.Why)
-		}
-		_, err = fmt.Fprintf(s.out, "order %d; 'tier state' shows who has it\n", r.Order.Number)
+		_, err = fmt.Fprintf(s.out, "order %d; 'tier state' shows who has it\n", r.Number)
 		return err
 	})
 }
@@ -559,17 +552,11 @@
 		if c.Force {
 			next.Why += ", by force"
 		}
-		r, err := o.Ask(ctx, council.Request{Order: &council.OrderCommand{Key: replica.ServerKey(council.ZoneKind, c.Pool, c.Zone), Value: next.Encode()}})
+		r, err := o.Order(ctx, council.OrderCommand{Key: replica.ServerKey(council.ZoneKind, c.Pool, c.Zone), Value: next.Encode()})
 		if err != nil {
 			return err
 		}
-		if r.Order == nil {
-			return tier.ErrNoCouncil
-		}
-		if r.Order.Why != "" {
-			return errors.New(r.Order.Why)
-		}
-		_, err = fmt.Fprintf(s.out, "epoch %d: %s of %s is at step %d of %d\n", r.Order.Number, c.Zone, c.Pool, next.Step, evacuate.Steps)
+		_, err = fmt.Fprintf(s.out, "epoch %d: %s of %s is at step %d of %d\n", r.Number, c.Zone, c.Pool, next.Step, evacuate.Steps)
 		return err
 	})
 }
--- a/internal/council/orders.go
+++ b/internal/council/orders.go
@@ -35,12 +35,33 @@
 	// on: if another has come between, it is refused, and the holder looks again.
 	Token uint64 `json:"token,omitempty"`
 	After uint64 `json:"after,omitempty"`
+	// Built has an operator's command build on After, too: a copy of it that comes late, or twice, changes nothing. Without it the command is
+	// carried out as often as it comes.
+	Built bool `json:"built,omitempty"`
 }
 
 // OrderResult is what became of it.
 type OrderResult struct {
 	Why    string `json:"why,omitempty"`
 	Number uint64 `json:"number,omitempty"`
+	// Now is what is in force where something else was decided meanwhile, Number its number.
+	Now *Order `json:"now,omitempty"`
+}
+
+// Meanwhile is why a command was refused that builds on what is in force no more.
+const Meanwhile = "something else was decided meanwhile"
+
+// Again is what an operator is to ask after a refusal for something that was decided meanwhile: the same, building on that. ok is false if that very
+// thing is in force: it was done, and its answer was lost, or another has done it. Without such a refusal c is returned as it is.
+func (c OrderCommand) Again(r *OrderResult) (next OrderCommand, ok bool) {
+	if r.Why != Meanwhile || c.Token != 0 {
+		return c, false
+	}
+	if r.Now != nil && r.Now.Lifted == c.Lift && (c.Lift || r.Now.Value == c.Value) {
+		return c, false
+	}
+	c.After = r.Number
+	return c, true
 }
 
 // Decided tells how far the council has come with its decisions, and the sum of all: who has the same sum has all of them.
@@ -56,8 +77,13 @@
 		return OrderResult{Why: "malformed"}
 	case c.Token != 0 && c.Token < f.Decider:
 		return OrderResult{Why: "a newer holder decides"}
-	case c.Token != 0 && f.Orders[c.Key] != nil && f.Orders[c.Key].Number != c.After, c.Token != 0 && f.Orders[c.Key] == nil && c.After != 0:
-		return OrderResult{Why: "something else was decided meanwhile"}
+	case (c.Token != 0 || c.Built) && f.numberOf(c.Key) != c.After:
+		r := OrderResult{Why: Meanwhile, Number: f.numberOf(c.Key)}
+		if now := f.Orders[c.Key]; now != nil {
+			was := *now
+			r.Now = &was
+		}
+		return r
 	case c.Lift && (f.Orders[c.Key] == nil || f.Orders[c.Key].Lifted):
 		return OrderResult{Why: fmt.Sprintf("%q is not ordered", c.Key)}
 	case f.Orders[c.Key] == nil && len(f.Orders) >= MostOrders:
@@ -72,6 +98,14 @@
 	return OrderResult{Number: f.Ordered}
 }
 
+// numberOf is that of the newest decision on a key, 0 without one.
+func (f *Fleet) numberOf(key string) uint64 {
+	if o := f.Orders[key]; o != nil {
+		return o.Number
+	}
+	return 0
+}
+
 // DecidedKinds are those of what the council decides.
 var DecidedKinds = []string{OrderKind, ZoneKind}
 
--- a/internal/council/orders_test.go
+++ b/internal/council/orders_test.go
@@ -21,6 +21,7 @@
 			c := OrderCommand{
 				Key: rapid.SampledFrom(append(keys, "odd/x", "order")).Draw(t, "key"), Lift: rapid.Bool().Draw(t, "lift"), Value: "v",
 				Token: rapid.Uint64Range(0, 3).Draw(t, "token"), After: rapid.Uint64Range(0, 4).Draw(t, "after"),
+				Built: rapid.Bool().Draw(t, "built"),
 			}
 			before := f.Orders[c.Key]
 			was, decider := f.Ordered, f.Decider
@@ -34,7 +35,10 @@
 			if !slices.Contains(keys, c.Key) || r.Number != was+1 || f.Orders[c.Key].Number != r.Number {
 				t.Fatalf("%+v: %+v", c, r)
 			}
-			if c.Token != 0 && (c.Token < decider || before != nil && before.Number != c.After) {
+			if late := f.Clone().order(c); (c.Token != 0 || c.Built) && late.Why == "" {
+				t.Fatalf("a second copy of %+v was done: %+v", c, late)
+			}
+			if c.Token != 0 && c.Token < decider || (c.Token != 0 || c.Built) && before != nil && before.Number != c.After {
 				t.Fatalf("%+v was done against token %d and %+v", c, decider, before)
 			}
 			if c.Lift && (before == nil || before.Lifted) {
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -150,6 +150,7 @@
 	Words   []Word
 	Looks   []Look
 	Decided map[string]State
+	Epochs  map[string]uint64 // of what is decided
 }
 
 // Cause is why a zone is, or is not, to be left.
@@ -266,13 +267,14 @@
 // a change of holder makes a return slower, and never faster.
 type Keeper struct {
 	rules Rules
-	since map[string]time.Duration // of the step
+	since map[string]time.Duration // of what is decided
 	seen  map[string]State
+	epoch map[string]uint64
 }
 
 // NewKeeper returns one that knows nothing yet.
 func NewKeeper(r Rules) *Keeper {
-	return &Keeper{rules: r, since: map[string]time.Duration{}, seen: map[string]State{}}
+	return &Keeper{rules: r, since: map[string]time.Duration{}, seen: map[string]State{}, epoch: map[string]uint64{}}
 }
 
 // Change is a state that is to be decided.
@@ -289,8 +291,9 @@
 		if !decided {
 			d = State{Step: Steps}
 		}
-		if was, had := k.seen[zone]; !had || was.Step != d.Step || was.Falls != d.Falls {
-			k.seen[zone], k.since[zone] = d, now
+		// By the epoch too: a step that came and went between two looks has been carried out by others.
+		if was, had := k.seen[zone]; !had || was.Step != d.Step || was.Falls != d.Falls || k.epoch[zone] != s.Epochs[zone] {
+			k.seen[zone], k.since[zone], k.epoch[zone] = d, now, s.Epochs[zone]
 		}
 		if d.Pinned || change != nil {
 			continue
--- a/internal/evacuate/evacuate_test.go
+++ b/internal/evacuate/evacuate_test.go
@@ -208,3 +208,26 @@
 		}
 	}
 }
+
+// TestStepBetween: a step that was decided and undone by an operator between two looks of the one who decides begins the hold anew.
+func TestStepBetween(t *testing.T) {
+	r := Usual()
+	k := NewKeeper(r)
+	s := Scene{
+		Servers: []Server{{"a1", "a"}, {"b1", "b"}, {"c1", "c"}}, Zones: map[string]string{"p": "a", "q": "b", "s": "c"}, Members: 3,
+		Looks: []Look{{"p", "b", true}, {"q", "b", true}}, Decided: map[string]State{"b": {}}, Epochs: map[string]uint64{"b": 1},
+	}
+	if c, _ := k.Next(0, s); c != nil {
+		t.Fatalf("%+v at once", c)
+	}
+	if c, _ := k.Next(r.Hold, s); c == nil || c.State.Step != 1 {
+		t.Fatalf("%+v after the hold", c)
+	}
+	s.Epochs = map[string]uint64{"b": 3} // its step was decided as 2, and an operator's word as 3
+	if c, _ := k.Next(r.Hold+1, s); c != nil {
+		t.Errorf("%+v at once after an operator's word", c)
+	}
+	if c, _ := k.Next(2*r.Hold+1, s); c == nil {
+		t.Error("never again")
+	}
+}
--- a/internal/explore/copies.go
+++ b/internal/explore/copies.go
@@ -8,6 +8,7 @@
 
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/replica"
+	"sorrelrudder/internal/zonal"
 )
 
 const (
@@ -24,6 +25,7 @@
 	orders uint64
 	newest map[replica.Place]replica.Version
 	gone   map[replica.Place]bool
+	zoner  *zoner // nil: no zones are played
 }
 
 // shares begins to take part in the shared state, as a process does that starts.
@@ -33,7 +35,7 @@
 	}
 	cfg := replica.Usual()
 	cfg.Gossip, cfg.Sync, cfg.Keep = 150*time.Millisecond, time.Second, 4*time.Second
-	cfg.Name, cfg.Kinds, cfg.Decided, cfg.Seed = p.name, []string{copiesKind}, []string{council.OrderKind}, p.w.rumours.Uint64()
+	cfg.Name, cfg.Kinds, cfg.Decided, cfg.Seed = p.name, []string{copiesKind, zonal.LookKind}, council.DecidedKinds, p.w.rumours.Uint64()
 	if slices.Contains(replica.Plants, replica.Plant(p.w.o.Plant)) {
 		cfg.Plant = replica.Plant(p.w.o.Plant)
 	}
@@ -43,6 +45,10 @@
 	p.rep = &shared{node: replica.New(p.clock(), cfg), newest: map[replica.Place]replica.Version{}, gone: map[replica.Place]bool{}, armed: -1}
 	p.gossipLater()
 	p.soon(time.Duration(p.w.rumours.IntN(800))*time.Millisecond, p.writes)
+	if p.w.o.Zones {
+		p.rep.zoner = &zoner{evidence: replica.NewEvidence(2), asking: -1, looked: map[string]bool{}}
+		p.soon(time.Duration(p.w.rumours.IntN(300))*time.Millisecond, p.watchesZones)
+	}
 }
 
 // gossipLater has the copies tick when they want to, unless they do so sooner already.
@@ -109,7 +115,14 @@
 
 // copies looks at what has changed at a process: a version never goes back, and what was gone does not come back as it was.
 func (o *observer) copies(p *proc) {
-	for _, at := range p.rep.node.Copies().Changed() {
+	changed := p.rep.node.Copies().Changed()
+	if p.rep.zoner != nil {
+		p.rep.zoner.evidence.Look(p.clock(), p.rep.node, changed)
+	}
+	if slices.ContainsFunc(changed, func(at replica.Place) bool { return at.Owner() == replica.Council }) {
+		o.carries(p)
+	}
+	for _, at := range changed {
 		e, ok := p.rep.node.Copies().Get(at.Owner(), at.Key())
 		if !ok {
 			p.rep.gone[at] = true
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -20,7 +20,7 @@
 
 func TestNothingBreaks(t *testing.T) {
 	for seed := range seeds(t, 40) {
-		if o := Run(Options{Seed: uint64(seed), Copies: seed%2 == 1}); o.Broken != "" {
+		if o := Run(Options{Seed: uint64(seed), Copies: seed%2 == 1, Zones: seed%4 == 3}); o.Broken != "" {
 			t.Errorf("seed %d: %v: %s", seed, o.At, o.Broken)
 		}
 	}
@@ -29,7 +29,7 @@
 func TestSameSeedSameRun(t *testing.T) {
 	for seed := uint64(1); seed <= 1; seed++ {
 		var a, b bytes.Buffer
-		x, y := Run(Options{Seed: seed, Log: &a, Copies: true}), Run(Options{Seed: seed, Log: &b, Copies: true})
+		x, y := Run(Options{Seed: seed, Log: &a, Copies: true, Zones: true}), Run(Options{Seed: seed, Log: &b, Copies: true, Zones: true})
 		if x.Hash != y.Hash || !bytes.Equal(a.Bytes(), b.Bytes()) {
 			t.Errorf("seed %d: two runs differ", seed)
 		}
@@ -51,7 +51,7 @@
 				first = 0
 			}
 			for seed := first; seed < 2000; seed++ {
-				if o := Run(Options{Seed: seed, Plant: plant, Copies: plant.OfCopies()}); o.Broken != "" {
+				if o := Run(Options{Seed: seed, Plant: plant, Copies: plant.OfCopies(), Zones: plant.OfZones()}); o.Broken != "" {
 					t.Logf("seed %d: %v: %s", seed, o.At, o.Broken)
 					return
 				}
--- a/internal/explore/fault.go
+++ b/internal/explore/fault.go
@@ -106,7 +106,7 @@
 )
 
 // Plants are all mistakes that can be planted.
-var Plants = append([]Plant{Margin, TokenReuse, NoSync, Hurry, Wall, Lax, EarlyFinish, Unfenced}, ofCopies()...)
+var Plants = slices.Concat([]Plant{Margin, TokenReuse, NoSync, Hurry, Wall, Lax, EarlyFinish, Unfenced}, ofCopies(), zonePlants)
 
 // ofCopies are those of the state that processes share; they are looked for in runs with Copies.
 func ofCopies() (all []Plant) {
@@ -117,4 +117,4 @@
 }
 
 // OfCopies reports whether a mistake is one of the shared state.
-func (p Plant) OfCopies() bool { return slices.Contains(ofCopies(), p) }
+func (p Plant) OfCopies() bool { return slices.Contains(ofCopies(), p) || p.OfZones() }
--- a/internal/explore/observer.go
+++ b/internal/explore/observer.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/internal/task"
+	"sorrelrudder/internal/zonal"
 )
 
 // observer says what must not be. Of the processes it only sees what they would act on; the rest it counts for itself.
@@ -18,15 +20,25 @@
 	keys   map[string]time.Duration  // when servers first saw a key
 	sentAt time.Duration             // the newest request of a slot
 	lastAt time.Duration
-	names  []leaseName     // that are watched
-	clocks []time.Duration // of the processes, at the event that is looked at
+	names  []leaseName       // that are watched
+	zones  *zonesWatch       // nil: none are played
+	avoids map[string]string // what was left out first by some decisions
+	clocks []time.Duration   // of the processes, at the event that is looked at
 }
 
 func newObserver(w *world) *observer {
-	return &observer{
+	o := &observer{
 		w: w, tokens: map[string]uint64{}, owner: map[uint64]string{}, ran: map[int64][]time.Duration{}, keys: map[string]time.Duration{},
 		names: append(append([]leaseName{}, w.names...), leaseName{"task/t", 1}),
 	}
+	if w.field != nil {
+		o.names = append(o.names, leaseName{zonal.Lease, 1})
+		o.zones, o.avoids = &zonesWatch{values: map[uint64]string{}}, map[string]string{}
+		for zone := range zones {
+			o.zones.states[zone].Step = evacuate.Steps
+		}
+	}
+	return o
 }
 
 // look is called after each event: no name may be held by more than its limit, by the clocks and knowledge of the processes themselves.
@@ -146,6 +158,7 @@
 	}
 	if w.o.Copies {
 		o.equalCopies(decided)
+		o.endZones()
 	}
 	for _, n := range o.names {
 		holders := 0
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -14,6 +14,7 @@
 	"sorrelrudder/internal/council"
 	"sorrelrudder/internal/lease"
 	"sorrelrudder/internal/task"
+	"sorrelrudder/internal/zonal"
 )
 
 // seedLibrary has the log's library draw its elections' times from the seed: it takes them from crypto/rand. That is one variable of
@@ -171,6 +172,9 @@
 		p.keeper.Want(n.name, n.limit)
 	}
 	p.keeper.Want("task/t", 1)
+	if p.w.o.Zones {
+		p.keeper.Want(zonal.Lease, 1)
+	}
 	names := make([]string, p.w.voters)
 	for i := range names {
 		names[i] = p.w.procs[i].name
@@ -296,6 +300,7 @@
 		p.offset += 2 * rules.Term // as if the term had passed
 	}
 	p.led = p.node.Leads()
+	p.w.watch.decides(p.node.Fleet())
 	p.takesOrders()
 	for _, e := range out.Events {
 		p.w.note("%s: %s %v", p.name, e.What, e.Args)
@@ -539,15 +544,32 @@
 	if f.Kind == Revoke {
 		q = council.Request{Lease: &lease.Ask{Command: &lease.Command{Op: lease.Revoke, Name: w.names[f.Q%len(w.names)].name}}}
 	}
+	w.asks(func() council.Request { return q }, func(council.Response) bool { return true })
+}
+
+// asks has an operator ask the council until it is done.
+func (w *world) asks(q func() council.Request, answered func(council.Response) (done bool)) {
 	from := w.procs[len(w.procs)-1]
 	tries := 0
 	var ask func()
 	ask = func() {
-		if tries++; tries > 10 || !from.up {
+		if tries++; tries > 100 {
 			return
 		}
-		from.call(q, func(council.Response) { tries = 100 })
-		w.after(200*time.Millisecond, func() { from.deliver(ask) })
+		if from.up {
+			from.call(q(), func(r council.Response) {
+				if answered(r) {
+					tries = 100
+				}
+			})
+		}
+		w.after(200*time.Millisecond, func() {
+			if from.up {
+				from.deliver(ask)
+				return
+			}
+			ask()
+		})
 	}
 	ask()
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -56,12 +56,14 @@
 	Trace  bool      // also each message
 	Ops    bool      // keep the history of the leases
 	Copies bool      // the processes share state
+	Zones  bool      // and leave zones of servers; with Copies
 }
 
 // Outcome is what came of a run.
 type Outcome struct {
 	Seed   uint64             `json:"seed"`
 	Copies bool               `json:"copies,omitempty"`
+	Zones  bool               `json:"zones,omitempty"`
 	Broken string             `json:"broken,omitempty"` // the first thing that must not be
 	At     time.Duration      `json:"at,omitempty"`
 	Faults []Fault            `json:"faults"`
@@ -123,6 +125,8 @@
 	counts    map[string]float64
 	ops       []Op
 	asked     map[firstAsk]time.Duration // when a command was asked first
+	field     *field                     // nil: no zones are played
+	words     [zones]int                 // that operators have given on zones
 }
 
 type leaseName struct {
@@ -146,11 +150,17 @@
 		Name: "t", Every: 400 * time.Millisecond, Missed: []task.Missed{task.Skip, task.Once, task.Each}[made.IntN(3)],
 		Effect: task.Effect(made.IntN(3)), Window: 4 * time.Second, Deadline: 300 * time.Millisecond, Tries: 2, Drift: drift,
 	}
+	if o.Zones {
+		w.field = newField()
+	}
 	w.watch = newObserver(w)
 	w.faults = o.Faults
 	if drawn := draw(made, w.voters, processes, faultsFrom, faultsTo); w.faults == nil {
 		w.faults = drawn
 	}
+	if o.Zones && o.Faults == nil {
+		w.faults = append(w.faults, drawZones(rand.New(rand.NewPCG(o.Seed, 7)))...)
+	}
 	for i := range processes {
 		w.procs = append(w.procs, newProc(w, i, made))
 	}
@@ -165,7 +175,7 @@
 		if r := recover(); r != nil {
 			w.breaks("panic: %v", r)
 		}
-		out = Outcome{Seed: o.Seed, Copies: o.Copies, Broken: w.broken, At: w.brokenAt, Faults: w.faults, Hash: w.hash.Sum64(), Counts: w.counts, Ops: w.ops}
+		out = Outcome{Seed: o.Seed, Copies: o.Copies, Zones: o.Zones, Broken: w.broken, At: w.brokenAt, Faults: w.faults, Hash: w.hash.Sum64(), Counts: w.counts, Ops: w.ops}
 	}()
 	for played := 0; len(w.queue) > 0 && w.broken == ""; played++ {
 		if played > mostEvents {
@@ -180,6 +190,7 @@
 		w.now = e.at
 		e.do()
 		w.watch.look()
+		w.watch.retires()
 	}
 	return out
 }
@@ -242,6 +253,9 @@
 		return
 	}
 	w.note("FAULT %s", f)
+	if w.strikeZones(f) {
+		return
+	}
 	p := w.procs[f.P%len(w.procs)]
 	block := func(a, b int) {
 		if a == b {
--- /dev/null
+++ b/internal/explore/zones.go
@@ -0,0 +1,433 @@
+package explore
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
+	"sorrelrudder/internal/replica"
+	"sorrelrudder/internal/zonal"
+)
+
+// The faults of servers, by zone. They are drawn only where zones are played.
+const (
+	ZoneDown Kind = "zone-down" // no server of a zone answers anybody
+	ZoneTorn Kind = "zone-torn" // members of one zone get no answer from another
+	Release  Kind = "release"   // two servers of each zone answer nobody, as of a bad release
+	ZoneWord Kind = "zone-word" // an operator leaves a zone, and after a while has it decided by itself again
+)
+
+// Mistakes about zones that can be planted.
+const (
+	OwnRank  Plant = "own-rank"         // each process has an order of servers of its own: parts are given out twice
+	Minority Plant = "minority-decides" // a process that can't ask decides by itself
+	WallStep Plant = "wall-return"      // a return is paced by a wall clock
+	NoRetire Plant = "no-way-back"      // a step that hurts is not taken back
+	Blind    Plant = "blind-steps"      // a return goes on whatever those say that look
+	TwoLeft  Plant = "two-at-once"      // what the others can bear is not looked at
+	Repeats  Plant = "word-repeated"    // an operator's word is carried out as often as it comes
+)
+
+var zonePlants = []Plant{OwnRank, Minority, WallStep, NoRetire, Blind, TwoLeft, Repeats}
+
+// OfZones reports whether a mistake is one about zones.
+func (p Plant) OfZones() bool { return slices.Contains(zonePlants, p) }
+
+const (
+	zonePool = "farm"
+	zones    = 3
+	perZone  = 3
+	// believed is for how long what members said of a server may outlive its being so: their words' time, and that in which one who is gone is missed.
+	believed = 9 * time.Second
+	// heardOf is after how long the one who decides has heard of a zone that is down throughout, whatever goes wrong meanwhile; soon where nothing
+	// else does.
+	heardOf = 6 * time.Second
+	soon    = 2500 * time.Millisecond
+)
+
+// zoneRules are short, so that a run sees returns and relapses.
+func (w *world) zoneRules() evacuate.Rules {
+	r := evacuate.Usual()
+	r.Step, r.Hold, r.Most = 300*time.Millisecond, 500*time.Millisecond, 2*time.Second
+	if w.o.Plant == TwoLeft {
+		r.Least, r.Others = 0, 0.59
+	}
+	return r
+}
+
+// field is the truth about the servers.
+type field struct {
+	list  map[string]string // zones by server
+	down  [zones]int        // faults at work
+	torn  [zones][zones]int // from, to
+	bad   int               // releases
+	since [zones]time.Duration
+	last  [zones]time.Duration // that a zone was seen to be lost, to members of two zones or more
+	is    [zones]bool
+}
+
+func zoneName(z int) string { return string(rune('a' + z)) }
+
+func newField() *field {
+	f := &field{list: map[string]string{}}
+	for z := range zones {
+		f.last[z] = -time.Hour
+		for i := range perZone {
+			f.list[fmt.Sprint(zoneName(z), i)] = zoneName(z)
+		}
+	}
+	return f
+}
+
+// answers reports whether a server answers members of a zone.
+func (f *field) answers(server string, from int) bool {
+	z := int(server[0] - 'a')
+	return f.down[z] == 0 && f.torn[from][z] == 0 && (f.bad == 0 || server[1] == '0')
+}
+
+// note keeps since when zones are lost. Most of a zone's servers have to be silent to members of two zones; a release does that too, where the
+// other zones' servers have recovered in the members' eyes and this one's have not.
+func (f *field) note(now time.Duration) {
+	for z := range zones {
+		blind := 0
+		for from := range zones {
+			if f.torn[from][z] > 0 || f.down[z] > 0 || f.bad > 0 {
+				blind++
+			}
+		}
+		if blind > 1 {
+			f.last[z] = now
+		}
+		if is := f.down[z] > 0; is != f.is[z] {
+			f.is[z], f.since[z] = is, now
+		}
+	}
+}
+
+// drawZones draws what happens to servers.
+func drawZones(rng *rand.Rand) []Fault {
+	var all []Fault
+	for n := 1 + rng.IntN(4); n > 0; n-- {
+		f := Fault{At: faultsFrom + time.Duration(rng.Int64N(int64(faultsTo-faultsFrom-2*time.Second))), P: rng.IntN(zones), Q: rng.IntN(zones), For: time.Duration(200+rng.IntN(6500)) * time.Millisecond}
+		f.Kind = []Kind{ZoneDown, ZoneDown, ZoneDown, ZoneDown, ZoneTorn, Release, ZoneWord}[rng.IntN(7)]
+		all = append(all, f)
+	}
+	return all
+}
+
+// strikeZones has a fault of servers happen, and reports whether it was one.
+func (w *world) strikeZones(f Fault) bool {
+	if w.field == nil {
+		return false
+	}
+	count := func(n *int) {
+		w.field.note(w.now)
+		*n++
+		w.field.note(w.now)
+		w.after(f.For, func() {
+			w.field.note(w.now)
+			*n--
+			w.field.note(w.now)
+		})
+	}
+	switch f.Kind {
+	case ZoneDown:
+		count(&w.field.down[f.P%zones])
+	case ZoneTorn:
+		count(&w.field.torn[f.Q%zones][f.P%zones])
+	case Release:
+		count(&w.field.bad)
+	case ZoneWord:
+		w.order(f.P%zones, evacuate.State{Pinned: true, Why: "an operator"})
+		w.after(f.For, func() { w.order(f.P%zones, evacuate.State{Why: "an operator lets go"}) })
+	default:
+		return false
+	}
+	return true
+}
+
+// order has an operator decide of a zone.
+func (w *world) order(zone int, s evacuate.State) {
+	c := council.OrderCommand{Key: replica.ServerKey(council.ZoneKind, zonePool, zoneName(zone)), Value: s.Encode(), Built: w.o.Plant != Repeats}
+	w.words[zone]++ // whoever gives the next has given up on the one before; copies of it may still be on their way
+	word := w.words[zone]
+	w.asks(func() council.Request {
+		ask := c
+		return council.Request{Order: &ask}
+	}, func(r council.Response) (done bool) {
+		if r.Order == nil || w.words[zone] != word {
+			return true
+		}
+		next, again := c.Again(r.Order)
+		c = next
+		return !again
+	})
+}
+
+// zoner is a process' part in leaving zones.
+type zoner struct {
+	evidence *replica.Evidence
+	keeper   *evacuate.Keeper // nil: it does not hold the lease
+	asking   time.Duration    // since; below 0: nothing is asked
+	looked   map[string]bool
+	turn     int
+	id       string // of the decisions by which it was looked at what it leaves out
+}
+
+func (p *proc) members() map[string]string {
+	all := map[string]string{}
+	for _, q := range p.w.procs {
+		all[q.name] = zoneName(q.i % zones)
+	}
+	return all
+}
+
+// avoids are the servers that the process leaves out.
+func (p *proc) avoids() map[string]bool {
+	if p.w.o.Plant == OwnRank {
+		list := map[string]string{}
+		turned := map[string]string{}
+		for server, zone := range p.w.field.list {
+			as := fmt.Sprint(zone, (int(server[1]-'0')+p.i)%perZone)
+			list[as], turned[as] = zone, server
+		}
+		all, _ := zonal.Orders(p.rep.node, zonePool, list)
+		own := map[string]bool{}
+		for as := range all {
+			own[turned[as]] = true
+		}
+		return own
+	}
+	all, _ := zonal.Orders(p.rep.node, zonePool, p.w.field.list)
+	return all
+}
+
+// watchesZones has the process meet servers, look at zones that were left, and decide if it is for it to.
+func (p *proc) watchesZones() {
+	z, n, rng := p.rep.zoner, p.rep.node, p.w.rumours
+	now := p.clock()
+	avoid := p.avoids()
+	for _, server := range slices.Sorted(maps.Keys(p.w.field.list)) {
+		if !avoid[server] && rng.IntN(2) == 0 {
+			z.evidence.Saw(now, n, replica.ServerKey(replica.DeadKind, zonePool, server), !p.w.field.answers(server, p.i%zones))
+		}
+	}
+	z.turn++
+	wanted := map[string]bool{}
+	for zone, server := range zonal.Looks(n, p.members(), p.name, zonePool, p.w.field.list, z.turn) {
+		key := replica.ServerKey(zonal.LookKind, zonePool, zone)
+		wanted[key] = true
+		n.Put(key, zonal.LookValue(p.w.field.answers(server, p.i%zones)))
+		z.looked[key] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(z.looked)) {
+		if !wanted[key] {
+			n.Delete(key)
+			delete(z.looked, key)
+		}
+	}
+	p.decidesZones(now)
+	p.w.watch.copies(p)
+	p.gossipLater()
+	p.soon(150*time.Millisecond+time.Duration(rng.IntN(200))*time.Millisecond, p.watchesZones)
+}
+
+// decidesZones is what the holder of the lease does.
+func (p *proc) decidesZones(now time.Duration) {
+	z, n := p.rep.zoner, p.rep.node
+	token, _, held := p.keeper.Holding(now, zonal.Lease)
+	alone := p.w.o.Plant == Minority && !held && p.keeper.Session() != 0 && now >= p.keeper.Until()
+	if (!held || p.leaving) && !alone {
+		z.keeper, z.asking = nil, -1
+		return
+	}
+	if z.keeper == nil {
+		z.keeper = evacuate.NewKeeper(p.w.zoneRules())
+	}
+	scene := zonal.Scene(n, p.members(), zonePool, p.w.field.list)
+	switch p.w.o.Plant {
+	case WallStep:
+		now += time.Duration(p.w.now/(700*time.Millisecond)) * 400 * time.Millisecond // set forth now and then
+	case Blind:
+		scene.Looks = nil
+		for _, member := range slices.Sorted(maps.Keys(scene.Zones)) {
+			for zone := range zones {
+				scene.Looks = append(scene.Looks, evacuate.Look{Member: member, Zone: zoneName(zone), Answers: true})
+			}
+		}
+	case Minority:
+		scene.Members = len(scene.Zones)
+	}
+	change, _ := z.keeper.Next(now, scene)
+	if change == nil || z.asking >= 0 && p.clock() < z.asking+rules.RenewEvery() {
+		return
+	}
+	if p.w.o.Plant == NoRetire && change.State.Falls > scene.Decided[change.Zone].Falls {
+		return
+	}
+	c := zonal.Command(n, zonePool, *change, token)
+	if alone {
+		n.Decide(c.Key, c.After+1, []byte(c.Value))
+		return
+	}
+	z.asking = p.clock()
+	p.call(council.Request{Order: &c}, func(r council.Response) {
+		z.asking = -1
+		if r.Order != nil && r.Order.Why == "" && p.rep != nil && p.rep.node == n {
+			n.Decide(c.Key, r.Order.Number, []byte(c.Value))
+			p.w.watch.copies(p)
+			p.gossipLater()
+		}
+	})
+}
+
+// zonesWatch is what the observer remembers of zones. It reads the council's log and what processes leave out, and knows the truth.
+type zonesWatch struct {
+	number uint64 // of the newest decision that was seen in the log
+	states [zones]evacuate.State
+	at     [zones]time.Duration // of the newest decision
+	values map[uint64]string    // of decisions, by number
+}
+
+// decides looks at what is new in the log.
+func (o *observer) decides(f *council.Fleet) {
+	z := o.zones
+	if z == nil || f == nil || f.Ordered <= z.number {
+		return
+	}
+	whole := true
+	next := z.number
+	f.OrdersSince(z.number, func(key string, d council.Order) {
+		whole = whole && d.Number == next+1 // else something between has been overwritten in one piece
+		next = d.Number
+		z.values[d.Number] = key + " " + d.Value
+		pool, name, ok := replica.ServerOf(key)
+		if replica.KindOf(key) != council.ZoneKind || !ok || pool != zonePool {
+			return
+		}
+		s, err := evacuate.Decode(d.Value)
+		if err != nil {
+			o.w.breaks("the council has decided %q: %v", d.Value, err)
+			return
+		}
+		o.judge(int(name[0]-'a'), s, d, whole)
+	})
+	z.number = f.Ordered
+}
+
+// judge says whether a decision may be one.
+func (o *observer) judge(zone int, s evacuate.State, d council.Order, whole bool) {
+	z, w := o.zones, o.w
+	was, at := z.states[zone], z.at[zone]
+	z.states[zone], z.at[zone] = s, w.now
+	w.counts["zone_decisions"]++
+	w.note("decided: zone %s %s, number %d, token %d", zoneName(zone), s.Encode(), d.Number, d.Token)
+	if d.Token == 0 || !whole { // by an operator, or what was before is not known
+		return
+	}
+	forward := s.Step > was.Step
+	switch {
+	case was.Pinned:
+		w.breaks("zone %s is decided by itself against an operator's word", zoneName(zone))
+	case !(was.Step == evacuate.Steps && s.Step == 0 || forward && s.Step == was.Step+1 || was.Step > 0 && s.Step == max(0, was.Step-2)):
+		w.breaks("zone %s goes from step %d to %d", zoneName(zone), was.Step, s.Step)
+	case was.Step == evacuate.Steps && w.now > w.field.last[zone]+believed && !w.field.is[zone]:
+		w.breaks("zone %s is left, and was well to all but one zone for %v", zoneName(zone), w.now-w.field.last[zone])
+	case forward && w.field.is[zone] && (w.now > w.field.since[zone]+heardOf || w.now > w.field.since[zone]+soon && w.calm(w.field.since[zone]-rules.Term)):
+		w.breaks("zone %s is returned to, to step %d, and has been down for %v", zoneName(zone), s.Step, w.now-w.field.since[zone])
+	}
+	usual := (&world{}).zoneRules()
+	least := usual.Step
+	if was.Step == 0 {
+		least = min(usual.Hold<<min(was.Falls, 20), usual.Most)
+	}
+	if forward && w.now < at+time.Duration(float64(least)/(1+drift)) {
+		w.breaks("zone %s goes to step %d after %v, %v at least", zoneName(zone), s.Step, w.now-at, least)
+	}
+	if !forward && was.Step == evacuate.Steps {
+		w.counts["zones_left"]++
+		for other := range zones {
+			if other != zone && z.states[other].Step < evacuate.Steps && !z.states[other].Pinned {
+				w.breaks("zone %s is left while zone %s is not wholly in use", zoneName(zone), zoneName(other))
+			}
+		}
+	}
+	if !forward && was.Step < evacuate.Steps {
+		w.counts["zone_relapses"]++
+	}
+	if forward && s.Step == evacuate.Steps {
+		w.counts["zones_returned"]++
+	}
+}
+
+// carries looks at what a process has of the council's decisions on zones, and at what it leaves out.
+func (o *observer) carries(p *proc) {
+	if o.zones == nil {
+		return
+	}
+	id := ""
+	p.rep.node.Copies().Of(replica.Council, council.ZoneKind+"/", func(e *replica.Entry) bool {
+		id += fmt.Sprint(e.Key, e.Seq, " ")
+		if want, decided := o.zones.values[e.Seq]; e.Seq > o.zones.number || decided && len(e.Values()) == 1 && want != e.Key+" "+string(e.Values()[0]) {
+			o.w.breaks("%s holds %s by number %d, %q, which the council has not decided", p.name, e.Key, e.Seq, e.Contents)
+		}
+		return true
+	})
+	if id == p.rep.zoner.id {
+		return
+	}
+	p.rep.zoner.id = id
+	avoid := fmt.Sprint(slices.Sorted(maps.Keys(p.avoids())))
+	if first, had := o.avoids[id]; had && first != avoid {
+		o.w.breaks("%s leaves out %s by the decisions by which others leave out %s", p.name, avoid, first)
+	}
+	o.avoids[id] = avoid
+}
+
+// retires looks whether a return into a zone that is down goes on.
+func (o *observer) retires() {
+	if o.zones == nil {
+		return
+	}
+	w := o.w
+	for zone, s := range o.zones.states {
+		if s.Step > 0 && s.Step < evacuate.Steps && !s.Pinned && w.field.is[zone] && w.now > w.field.since[zone]+soon && w.now > o.zones.at[zone]+soon && w.calm(w.now-soon-rules.Term) {
+			w.breaks("zone %s has been down for %v and is still used at step %d", zoneName(zone), w.now-w.field.since[zone], s.Step)
+		}
+	}
+}
+
+// calm reports whether nothing but servers has failed since then.
+func (w *world) calm(since time.Duration) bool {
+	for _, f := range w.faults {
+		switch f.Kind {
+		case ZoneDown, ZoneTorn, Release, ZoneWord:
+		default:
+			if f.At <= w.now && f.At+f.For+4*time.Second > since {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// endZones says at the end what is not wholly in use, with all well for long.
+func (o *observer) endZones() {
+	if o.zones == nil {
+		return
+	}
+	for zone, s := range o.zones.states {
+		if s.Step < evacuate.Steps {
+			o.w.breaks("zone %s is at step %d (pinned: %v) at the end", zoneName(zone), s.Step, s.Pinned)
+		}
+	}
+	for _, p := range o.w.procs {
+		if p.up && len(p.avoids()) > 0 {
+			o.w.breaks("%s leaves out %v at the end", p.name, slices.Sorted(maps.Keys(p.avoids())))
+		}
+	}
+}
--- a/internal/tier/operate.go
+++ b/internal/tier/operate.go
@@ -95,6 +95,32 @@
 	}
 }
 
+// Order gives an order, or takes it back, in a way that has no second effect: a copy of an earlier word that comes late changes nothing.
+func (o *Operator) Order(ctx context.Context, c council.OrderCommand) (*council.OrderResult, error) {
+	c.Built = true
+	for {
+		r, err := o.Ask(ctx, council.Request{Order: &c})
+		if err != nil {
+			return nil, err
+		}
+		if r.Order == nil {
+			return nil, ErrNoCouncil
+		}
+		if r.Order.Why == "" {
+			return r.Order, nil
+		}
+		next, again := c.Again(r.Order)
+		switch {
+		case again && ctx.Err() == nil:
+			c = next
+		case r.Order.Why == council.Meanwhile:
+			return r.Order, nil // it is in force
+		default:
+			return nil, errors.New(r.Order.Why)
+		}
+	}
+}
+
 // Status asks the process what it knows itself.
 func (o *Operator) Status(ctx context.Context) (*Status, error) {
 	a, err := o.ask(ctx, council.Request{State: true})
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -80,7 +80,7 @@
 		}
 		return true
 	})
-	s.Decided, _ = Decided(n, pool)
+	s.Decided, s.Epochs = Decided(n, pool)
 	return s
 }
 
