--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -159,7 +159,11 @@
 		w.faults = drawn
 	}
 	if o.Zones && o.Faults == nil {
-		w.faults = append(w.faults, drawZones(rand.New(rand.NewPCG(o.Seed, 7)))...)
+		alone := o.Seed%4 == 0
+		if alone {
+			w.faults = []Fault{}
+		}
+		w.faults = append(w.faults, drawZones(rand.New(rand.NewPCG(o.Seed, 7)), alone)...)
 	}
 	for i := range processes {
 		w.procs = append(w.procs, newProc(w, i, made))
--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -66,7 +66,8 @@
 	torn  [zones][zones]int // from, to
 	bad   int               // releases
 	since [zones]time.Duration
-	last  [zones]time.Duration // that a zone was seen to be lost, to members of two zones or more
+	blind [zones][zones]time.Duration // to whom, when last: they can have said so for a while after
+	last  [zones]time.Duration        // that a zone was seen to be lost, to members of two zones or more
 	is    [zones]bool
 }
 
@@ -76,6 +77,9 @@
 	f := &field{list: map[string]string{}}
 	for z := range zones {
 		f.last[z] = -time.Hour
+		for from := range zones {
+			f.blind[z][from] = -time.Hour
+		}
 		for i := range perZone {
 			f.list[fmt.Sprint(zoneName(z), i)] = zoneName(z)
 		}
@@ -96,6 +100,9 @@
 		blind := 0
 		for from := range zones {
 			if f.torn[from][z] > 0 || f.down[z] > 0 || f.bad > 0 {
+				f.blind[z][from] = now
+			}
+			if now <= f.blind[z][from]+soon {
 				blind++
 			}
 		}
@@ -109,8 +116,15 @@
 }
 
 // drawZones draws what happens to servers.
-func drawZones(rng *rand.Rand) []Fault {
+func drawZones(rng *rand.Rand, alone bool) []Fault {
 	var all []Fault
+	if alone { // nothing else goes wrong: a zone that goes again while it is being returned to
+		zone := rng.IntN(zones)
+		at := faultsFrom + time.Duration(rng.IntN(2000))*time.Millisecond
+		all = append(all, Fault{At: at, Kind: ZoneDown, P: zone, For: time.Duration(1000+rng.IntN(2000)) * time.Millisecond})
+		at += 5500*time.Millisecond + time.Duration(rng.IntN(2500))*time.Millisecond
+		return append(all, Fault{At: at, Kind: ZoneDown, P: zone, For: time.Duration(3000+rng.IntN(3000)) * time.Millisecond})
+	}
 	for n := 1 + rng.IntN(4); n > 0; n-- {
 		f := Fault{At: faultsFrom + time.Duration(rng.Int64N(int64(faultsTo-faultsFrom-2*time.Second))), P: rng.IntN(zones), Q: rng.IntN(zones), For: time.Duration(200+rng.IntN(6500)) * time.Millisecond}
 		f.Kind = []Kind{ZoneDown, ZoneDown, ZoneDown, ZoneDown, ZoneTorn, Release, ZoneWord}[rng.IntN(7)]
