lab zone-decider: who decides is lost with its zone, the next is stopped in a return

A zone is lost and the process that decides is killed in the same moment; at the return the lease is handed over in the middle, its holder stopped (SIGSTOP), half of the processes that have no seat cut off for an epoch; the stopped one goes on with what it knew.

--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -62,7 +62,12 @@
 	Sums        map[string]uint64
 	Figures     struct{ Helped, Turned, Deaths, Suspicions int }
 	Refused     struct{ Differ int }
-	Entries     []struct {
+	Zones       []struct {
+		Zone  string
+		Epoch uint64
+		Step  int
+	}
+	Entries []struct {
 		Owner, Key string
 		Inc, Seq   uint64
 		Values     []string
@@ -290,10 +295,15 @@
 
 // crowds has clients ask at all processes until ctx ends, rate operations a second at each, and returns what became of all.
 func (f *fleet) crowds(ctx context.Context, name string, rate float64, ledger *standin.Ledger) *standin.Crowd {
+	return f.crowdsAt(ctx, f.procs, name, rate, ledger)
+}
+
+// crowdsAt does so at some: one that is stopped answers late, which is no fault of its own.
+func (f *fleet) crowdsAt(ctx context.Context, procs []*fleetProc, name string, rate float64, ledger *standin.Ledger) *standin.Crowd {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var sum *standin.Crowd
-	for _, p := range f.procs {
+	for _, p := range procs {
 		addr := p.prog.Addr("farm")
 		all.Go(func() {
 			c := standin.RunClients(ctx, standin.ClientConfig{
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"sorrelrudder/internal/standin"
@@ -19,6 +23,10 @@
 		Name: "zone-return", Duration: 40 * time.Second, Run: zoneReturn,
 		Summary: "a zone comes back cold, and its boxes fall when they are sent more than they bear then: returned to as a fleet, and by each alone",
 	})
+	Register(Scenario{
+		Name: "zone-decider", Duration: 24 * time.Second, Run: zoneDecider,
+		Summary: "a zone is lost with the process that decides in it; the next is stopped in the middle of the return, half are deaf for an epoch, one comes back late",
+	})
 	Register(Scenario{
 		Name: "zone-torn", Duration: 16 * time.Second, Run: zoneTorn,
 		Summary: "what only looks like a lost zone: half of its servers dead, servers of all zones dead alike, members that are cut off: nothing is left",
@@ -446,3 +454,209 @@
 	e.AtMost("duplicates", float64(v.Doubled), 0)
 	return nil
 }
+
+// epochs follows what processes have of what is decided of zones, and counts what goes back in one life of a process.
+type epochs struct {
+	mu     sync.Mutex
+	newest map[string]uint64
+	back   int
+	looks  int
+}
+
+func (x *epochs) look(f *fleet, procs []*fleetProc) map[int]copiesState {
+	starts := map[int]int{}
+	for _, p := range procs {
+		p.mu.Lock()
+		starts[p.i] = p.starts
+		p.mu.Unlock()
+	}
+	got := f.all(procs)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.looks++
+	for i, s := range got {
+		p := f.procs[i]
+		p.mu.Lock()
+		same := p.starts == starts[i]
+		p.mu.Unlock()
+		if !same {
+			continue
+		}
+		for _, z := range s.Zones {
+			id := fmt.Sprint(p.name, starts[i], z.Zone)
+			if z.Epoch < x.newest[id] {
+				x.back++
+			}
+			x.newest[id] = max(x.newest[id], z.Epoch)
+		}
+	}
+	return got
+}
+
+// zoneDecider does to those that decide and follow what can be done to processes while a zone is left and returned to.
+func zoneDecider(ctx context.Context, e *Env) error {
+	rng := rand.New(rand.NewPCG(e.Seed, 51))
+	ledger := standin.NewLedger()
+	f, err := e.zoneFleet(ctx, ledger, true, 5)
+	if err != nil {
+		return err
+	}
+	load, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crowd := make(chan *standin.Crowd, 1)
+	go func() { crowd <- f.crowdsAt(load, f.procs[3:], "farm", 6, ledger) }()
+	x := &epochs{newest: map[string]uint64{}}
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		for pause(load, 250*time.Millisecond) {
+			x.look(f, f.procs)
+		}
+	}()
+	if err := f.await(ctx, 15*time.Second, "somebody decides of zones", func() bool { return f.holder("zones") >= 0 }); err != nil {
+		return err
+	}
+	// decides has the lease go to a process that no client asks.
+	decides := func(to *fleetProc) error {
+		return f.await(ctx, 15*time.Second, to.name+" decides of zones", func() bool {
+			n := f.holder("zones")
+			if n < 0 || n == to.i {
+				return n == to.i
+			}
+			out, err := f.cli("tier", "lease", "handover", "zones", to.name, f.procs[n].addr, "--secret", f.secret)
+			if err != nil {
+				f.note("handover: %v: %s", err, out)
+			}
+			pause(ctx, 300*time.Millisecond)
+			return f.holder("zones") == to.i
+		})
+	}
+	decider, next := f.procs[1], f.procs[2]
+	if err := decides(decider); err != nil {
+		return err
+	}
+	zone := labZones[decider.i%3]
+	pause(load, 2*time.Second)
+	e.Phase("the zone of the one who decides is lost with it", e.Duration/3)
+	lost := time.Now()
+	for _, b := range f.inZone(zone) {
+		b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+	}
+	f.note("zone %s is lost, and %s is killed, which decides", zone, decider.name)
+	decider.end()
+	others := slices.DeleteFunc(slices.Clone(f.procs), func(p *fleetProc) bool { return p == decider })
+	left := func() bool {
+		n := 0
+		for _, s := range x.look(f, others) {
+			for _, z := range s.Zones {
+				if z.Zone == zone && z.Epoch > 0 && z.Step == 0 {
+					n++
+				}
+			}
+		}
+		return n == len(others)
+	}
+	if err := f.await(ctx, 20*time.Second, "all others have left the zone", left); err != nil {
+		return err
+	}
+	e.AtMost("left_s", time.Since(lost).Seconds(), 8) // a term, an election, and the evidence
+	e.Phase("the next one is stopped in the middle of the return; half are deaf for an epoch", e.Duration/3)
+	if err := decider.start(); err != nil {
+		return err
+	}
+	f.note("zone %s is back, and %s", zone, decider.name)
+	back := time.Now()
+	for _, b := range f.inZone(zone) {
+		b.SetFault(standin.Fault{})
+	}
+	step := func(least int) func() bool {
+		return func() bool {
+			for _, s := range x.look(f, f.procs) {
+				for _, z := range s.Zones {
+					if z.Zone == zone && z.Step >= least {
+						return true
+					}
+				}
+			}
+			return false
+		}
+	}
+	if err := f.await(ctx, 30*time.Second, "the return has begun", step(1)); err != nil {
+		return err
+	}
+	if err := decides(next); err != nil { // which takes the step for just begun
+		return err
+	}
+	half := map[int]bool{}
+	for _, i := range rng.Perm(len(f.procs))[:len(f.procs)/2] {
+		half[i] = i >= 5 // the council hears
+	}
+	f.note("%s is stopped, which decides; deaf: %v", next.name, half)
+	next.prog.Signal(syscall.SIGSTOP)
+	mend := f.each(func(a, b int) bool { return half[a] != half[b] }, func(w *standin.Way) { w.Cut = true }, func(w *standin.Way) { w.Cut = false })
+	if err := f.await(ctx, 30*time.Second, "another goes on with the return", step(2)); err != nil {
+		return err
+	}
+	pause(ctx, time.Second)
+	f.note("%s goes on with what it knew, and all hear again", next.name)
+	next.prog.Signal(syscall.SIGCONT)
+	mend()
+	e.Phase("all meet again", e.Duration/3)
+	if err := f.await(ctx, 40*time.Second, "all use the zone again, by one epoch", func() bool {
+		got := x.look(f, f.procs)
+		all := map[uint64]bool{}
+		for _, s := range got {
+			for _, z := range s.Zones {
+				if z.Zone == zone {
+					all[z.Epoch] = true
+				}
+				if z.Step != 4 {
+					return false
+				}
+			}
+		}
+		return len(got) == len(f.procs) && len(all) == 1
+	}); err != nil {
+		return err
+	}
+	e.Measure("returned_s", time.Since(back).Seconds())
+	cancel()
+	<-followed
+	c := <-crowd
+	x.mu.Lock()
+	e.AtMost("epochs_back", float64(x.back), 0)
+	e.Measure("looks", float64(x.looks))
+	x.mu.Unlock()
+	// Each decision bears a larger epoch, whoever made it.
+	type decision struct {
+		epoch uint64
+		at    time.Time
+		step  string
+	}
+	var all []decision
+	for _, p := range f.procs {
+		for _, prog := range append(slices.Clone(p.old), p.prog) {
+			for _, line := range prog.Lines() {
+				if Field(line, "msg") == "a zone is decided" {
+					n, _ := strconv.ParseUint(Field(line, "epoch"), 10, 64)
+					all = append(all, decision{n, stamp(line), Field(line, "step")})
+				}
+			}
+		}
+	}
+	seen := map[uint64]bool{}
+	for _, d := range all {
+		if seen[d.epoch] {
+			e.Broken("epoch %d was decided twice", d.epoch)
+		}
+		seen[d.epoch] = true
+	}
+	e.Measure("epochs", float64(len(all)))
+	e.crowd("", c)
+	e.Measure("served", c.Share())
+	f.stop()
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
