--- a/cmd/sorrelrudder/emulate.go
+++ b/cmd/sorrelrudder/emulate.go
@@ -13,6 +13,7 @@
 
 	"sorrelrudder/internal/dayfile"
 	"sorrelrudder/internal/emulator"
+	"sorrelrudder/internal/evacuate"
 )
 
 // mostRuns bounds the runs of one call.
@@ -24,8 +25,10 @@
 	JSON bool   `name:"json" help:"Print as JSON, one object a run."`
 
 	Scale     float64       `default:"1" help:"Times as many instances, servers, requests and calls for the list."`
-	Share     []string      `help:"Play each seed also with this known to all instances, and print the difference: dead (servers that do not answer), room (what probes are told), learn (slowness, for one that starts), list (for one that starts)."`
+	Share     []string      `help:"Play each seed also with this known to all instances, and print the difference: dead (servers that do not answer), room (what probes are told), learn (slowness, for one that starts), list (for one that starts), zones (a zone that fails is left by one decision and returned to step by step)."`
 	Witnesses int           `default:"2" help:"How many have to tell of a server within a second for others to believe that it is dead."`
+	ZoneStep  time.Duration `default:"2s" help:"--share zones: how long a step of a return is looked at."`
+	ZoneHold  time.Duration `default:"2s" help:"--share zones: how long a zone that was left stays so at least."`
 	Lag       time.Duration `default:"100ms" help:"How long after one has learnt it the others know what --share names."`
 }
 
@@ -42,8 +45,14 @@
 			h.Learn = true
 		case "list":
 			h.List = true
+		case "zones":
+			h.Zones, h.ZoneRules = true, evacuate.Usual()
+			h.ZoneRules.Step, h.ZoneRules.Hold = c.ZoneStep, c.ZoneHold
+			if err := h.ZoneRules.Check(); err != nil {
+				return h, fmt.Errorf("%w: %w", errDay, err)
+			}
 		default:
-			return h, fmt.Errorf("%w: --share %s: there are dead, room, learn and list", errDay, kind)
+			return h, fmt.Errorf("%w: --share %s: there are dead, room, learn, list and zones", errDay, kind)
 		}
 	}
 	if c.Lag <= 0 {
--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -131,7 +131,7 @@
 	"internal/plain":     {"policy", "internal/classify", "internal/message", "internal/pool", "internal/upstream"},
 	"internal/figures":   {},
 	"internal/tally":     {},
-	"internal/emulator":  {"policy"},
+	"internal/emulator":  {"policy", "internal/evacuate"},
 	"internal/dayfile":   {"policy", "internal/emulator"},
 	"internal/fixedseed": {},
 	"internal/lease":     {},
--- a/internal/emulator/hearsay.go
+++ b/internal/emulator/hearsay.go
@@ -16,6 +16,9 @@
 // policy.Balancer.Hint.
 func (in *instance) tells(now policy.Time, s *server, st policy.Status) {
 	w := in.w
+	if w.fleet != nil && s != nil {
+		w.fleet.saw(in, policy.ServerID(s.id), st)
+	}
 	if !w.day.Hearsay.Dead || s == nil || st != policy.ConnectFailed && st != policy.Timeout && st != policy.Reset {
 		return
 	}
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -22,6 +22,11 @@
 	after   []func()
 	inside  bool
 	said    map[policy.ServerID]policy.Time // when it told others of a server
+
+	// Where zones are decided for all.
+	list     map[policy.ServerID]policy.Server // as it was told
+	avoids   map[string]bool
+	returned map[policy.ServerID]policy.Time
 }
 
 // try is a request as an instance has it.
@@ -67,6 +72,7 @@
 	b, err := policy.New(cfg, in.seed)
 	in.b, in.tries, in.known, in.idle, in.watcher = b, map[policy.RequestID]*try{}, map[policy.ServerID]*server{}, map[*server]int{}, nil
 	in.said = map[policy.ServerID]policy.Time{}
+	in.list, in.avoids, in.returned = map[policy.ServerID]policy.Server{}, nil, map[policy.ServerID]policy.Time{}
 	return err
 }
 
@@ -168,7 +174,7 @@
 				in.known[e.ID] = at
 			}
 		}
-		in.b.Members(now, kind, entries, in)
+		in.b.Members(now, kind, in.listed(kind, entries), in)
 	})
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"sorrelrudder/internal/evacuate"
 	"sorrelrudder/policy"
 )
 
@@ -92,6 +93,8 @@
 	Room      bool // what one's probes are told: others take the report for one of their own
 	Learn     bool // slowness of servers and the line of delays, for one that starts
 	List      bool // the list, for one that starts
+	Zones     bool // a zone that fails is left by all by one decision, and returned to step by step
+	ZoneRules evacuate.Rules
 }
 
 // event is due at a time; those of one time come in the order in which they were asked for.
@@ -134,6 +137,7 @@
 	weights   []float64 // of the instances, summed up
 	watch     *observer
 	witnesses map[policy.ServerID][]witness
+	fleet     *decider                      // nil: nothing is decided for all
 	settled   func(*attempt, policy.Status) // where it is set, told the end of each attempt
 	Result    Result
 }
@@ -144,6 +148,8 @@
 	Broken  []string // rules, at most mostBroken of them
 	Breaks  int
 	Total   Second
+
+	Decisions []Decision // of zones, in order
 }
 
 // Second is what happened within one second.
@@ -180,6 +186,9 @@
 		w.servers = append(w.servers, w.newServer(fmt.Sprintf("s%03d", i), i, 0))
 	}
 	w.list = newList(w)
+	if day.Hearsay.Zones {
+		w.fleet = newDecider(w)
+	}
 	weight := 0.0
 	for i := range day.Instances {
 		in, err := newInstance(w, i)
--- /dev/null
+++ b/internal/emulator/zones.go
@@ -0,0 +1,206 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"sorrelrudder/internal/evacuate"
+	"sorrelrudder/policy"
+)
+
+// decider decides of zones for all instances, as the holder of a lease does in the program: on what instances have found silent, each word the lag old,
+// and with a decision that all carry out the lag after it. That it is decided once and carried out whole is the council's doing and taken for granted.
+type decider struct {
+	w      *World
+	keeper *evacuate.Keeper
+	words  map[int]map[policy.ServerID]policy.Time // by instance: when it last found a server silent
+	states map[string]evacuate.State
+	epoch  uint64
+	epochs map[string]uint64
+}
+
+const (
+	judgeEvery = 200 * time.Millisecond
+	wordFor    = 5 * time.Second // a word that is not said again counts no more
+	looksEach  = 2               // servers of a zone that was left that are looked at
+)
+
+// Decision is what was decided of a zone, for those who read a run.
+type Decision struct {
+	At   time.Duration
+	Zone string
+	Step int
+	Why  string
+}
+
+func newDecider(w *World) *decider {
+	f := &decider{w: w, keeper: evacuate.NewKeeper(w.day.Hearsay.ZoneRules), words: map[int]map[policy.ServerID]policy.Time{}, states: map[string]evacuate.State{}, epochs: map[string]uint64{}}
+	w.after(w.day.Start+judgeEvery, f.judge)
+	return f
+}
+
+// saw notes what an instance has found of a server.
+func (f *decider) saw(in *instance, id policy.ServerID, st policy.Status) {
+	of := f.words[in.ordinal]
+	if in.avoids[string(id)] {
+		return // what it leaves out it says nothing of
+	}
+	switch st {
+	case policy.ConnectFailed, policy.Timeout, policy.Reset:
+		if of == nil {
+			of = map[policy.ServerID]policy.Time{}
+			f.words[in.ordinal] = of
+		}
+		of[id] = f.w.now
+	case policy.OK:
+		delete(of, id)
+	}
+}
+
+// scene is what the one who decides knows.
+func (f *decider) scene() evacuate.Scene {
+	w := f.w
+	s := evacuate.Scene{Zones: map[string]string{}, Members: len(w.instances), Decided: f.states, Epochs: f.epochs}
+	for _, e := range w.list.whole() {
+		if e.State == policy.Ready {
+			s.Servers = append(s.Servers, evacuate.Server{Name: string(e.ID), Zone: e.Zone})
+		}
+	}
+	for _, in := range w.instances {
+		if !in.up {
+			continue
+		}
+		name := in.name()
+		s.Zones[name] = in.zone
+		for id, at := range f.words[in.ordinal] {
+			switch age := w.now - at; {
+			case age > wordFor:
+				delete(f.words[in.ordinal], id)
+			case age >= w.day.Hearsay.Lag:
+				s.Words = append(s.Words, evacuate.Word{Member: name, Server: string(id)})
+			}
+		}
+	}
+	for zone, d := range f.states {
+		if d.Step >= evacuate.Steps {
+			continue
+		}
+		at := 0
+		for _, in := range w.instances { // two that are there look, as a probe does
+			if at == looksEach || !in.up {
+				continue
+			}
+			at++
+			answers := true
+			for n, x := range w.servers {
+				if x.zone == zone && !x.gone && n%looksEach == at%looksEach && x.dead() {
+					answers = false
+				}
+			}
+			s.Looks = append(s.Looks, evacuate.Look{Member: in.name(), Zone: zone, Answers: answers})
+		}
+	}
+	return s
+}
+
+func (in *instance) name() string { return string(rune('a'+in.ordinal%26)) + string(rune(in.ordinal)) }
+
+// judge decides one change at most, and has all carry it out.
+func (f *decider) judge() {
+	w := f.w
+	w.after(judgeEvery, f.judge)
+	change, _ := f.keeper.Next(w.now, f.scene())
+	if change == nil {
+		return
+	}
+	f.epoch++
+	f.states[change.Zone], f.epochs[change.Zone] = change.State, f.epoch
+	w.Result.Decisions = append(w.Result.Decisions, Decision{w.At(), change.Zone, change.State.Step, change.State.Why})
+	w.after(w.day.Hearsay.Lag, func() {
+		for _, in := range w.instances {
+			in.follow()
+		}
+	})
+}
+
+// avoided are the servers that are not in use by what is decided.
+func (f *decider) avoided(list map[policy.ServerID]policy.Server) map[string]bool {
+	var all []evacuate.Server
+	for id, e := range list {
+		if e.State == policy.Ready {
+			all = append(all, evacuate.Server{Name: string(id), Zone: e.Zone})
+		}
+	}
+	return evacuate.Avoided(all, f.states)
+}
+
+// follow has an instance leave out what is decided. What it uses again counts as started then, as pool.Pool.Avoid has it.
+func (in *instance) follow() {
+	if !in.up || in.w.fleet == nil {
+		return
+	}
+	before := in.avoids
+	in.avoids = in.w.fleet.avoided(in.list)
+	var changed []policy.Server
+	for id, e := range in.list {
+		now, was := in.avoids[string(id)], before[string(id)]
+		if now == was || e.State != policy.Ready {
+			continue
+		}
+		if was {
+			in.returned[id] = in.w.now
+		} else {
+			delete(in.returned, id)
+			delete(in.w.fleet.words[in.ordinal], id)
+		}
+		changed = append(changed, in.overlaid(e))
+	}
+	slices.SortFunc(changed, func(a, b policy.Server) int { return int(int64(hashOf(a.ID)) - int64(hashOf(b.ID))) })
+	if len(changed) > 0 {
+		in.do(func(now policy.Time) { in.b.Members(now, policy.ListDelta, changed, in) })
+	}
+}
+
+func hashOf(id policy.ServerID) (h uint32) {
+	for i := range len(id) {
+		h = h*31 + uint32(id[i])
+	}
+	return h
+}
+
+// overlaid is what the module is told of an entry of the list.
+func (in *instance) overlaid(e policy.Server) policy.Server {
+	if in.w.fleet == nil {
+		return e
+	}
+	if e.State == policy.Ready && in.avoids[string(e.ID)] {
+		e.State = policy.Draining
+	}
+	if at, is := in.returned[e.ID]; is && e.Started < at {
+		e.Started = at
+	}
+	return e
+}
+
+// listed notes what the list says, and returns what the module is told of it.
+func (in *instance) listed(kind policy.ListKind, entries []policy.Server) []policy.Server {
+	if in.w.fleet == nil {
+		return entries
+	}
+	if kind != policy.ListDelta {
+		clear(in.list)
+	}
+	for _, e := range entries {
+		if e.State == policy.Gone {
+			delete(in.list, e.ID)
+		} else {
+			in.list[e.ID] = e
+		}
+	}
+	in.avoids = in.w.fleet.avoided(in.list)
+	out := make([]policy.Server, len(entries))
+	for i, e := range entries {
+		out[i] = in.overlaid(e)
+	}
+	return out
+}
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -27,6 +27,10 @@
 		Name: "zone-decider", Duration: 24 * time.Second, Run: zoneDecider,
 		Summary: "a zone is lost with the process that decides in it; the next is stopped in the middle of the return, half are deaf for an epoch, one comes back late",
 	})
+	Register(Scenario{
+		Name: "zone-grey", Duration: 48 * time.Second, Run: zoneGrey,
+		Summary: "a zone that fails by half (slow by ten, one in eight answers an error, lost or late), used by each process as it sees fit, and left by order: what leaving it is worth",
+	})
 	Register(Scenario{
 		Name: "zone-torn", Duration: 16 * time.Second, Run: zoneTorn,
 		Summary: "what only looks like a lost zone: half of its servers dead, servers of all zones dead alike, members that are cut off: nothing is left",
@@ -660,3 +664,83 @@
 	e.AtMost("duplicates", float64(v.Doubled), 0)
 	return nil
 }
+
+// zoneGrey measures what it would be worth to leave a zone that fails by half: the same load on it as each process uses it, and with it left by an
+// operator's order.
+func zoneGrey(ctx context.Context, e *Env) error {
+	kinds := []struct {
+		name  string
+		fault standin.Fault
+	}{
+		{"errors", standin.Fault{Kind: standin.Error, Share: 0.125}},
+		{"lost", standin.Fault{Kind: standin.Silent, Share: 0.125}},
+		{"slow", standin.Fault{Kind: standin.Slow, Share: 1, Delay: 360 * time.Millisecond}},
+		{"half", standin.Fault{Kind: standin.Error, Share: 0.5}},
+	}
+	ledger := standin.NewLedger()
+	f, err := e.zoneFleet(ctx, ledger, true, 3)
+	if err != nil {
+		return err
+	}
+	zone := func(args ...string) error {
+		out, err := f.cli(append([]string{"tier", "zone"}, append(args, f.procs[0].addr, "--secret", f.secret)...)...)
+		if err != nil {
+			return fmt.Errorf("zone %v: %w: %s", args, err, out)
+		}
+		return nil
+	}
+	part := e.Duration / time.Duration(2*len(kinds)+2)
+	gain := 0.0
+	for _, load := range []float64{10, 20} { // some 0.3 and 0.6 of what all bear
+		for _, k := range kinds {
+			served := map[bool]float64{}
+			for _, left := range []bool{false, true} {
+				at := time.Now()
+				if left {
+					if err := zone("leave", "farm", "b"); err != nil {
+						return err
+					}
+					if err := f.await(ctx, 10*time.Second, "all have left the zone", func() bool { return len(f.followed(3, at)) == len(f.procs) }); err != nil {
+						return err
+					}
+				}
+				name := fmt.Sprintf("%s_%.0f_%v", k.name, load, left)
+				e.Phase(name, part/2)
+				for _, b := range f.inZone("b") {
+					b.SetFault(k.fault)
+				}
+				run, cancel := context.WithTimeout(ctx, part/2)
+				crowd := f.crowds(run, name, load, ledger)
+				cancel()
+				served[left] = crowd.Share()
+				for _, b := range f.inZone("b") {
+					b.SetFault(standin.Fault{})
+				}
+				if left {
+					back := time.Now()
+					if err := zone("return", "farm", "b", "--step", "4", "--force"); err != nil {
+						return err
+					}
+					if err := f.await(ctx, 10*time.Second, "all use the zone again", func() bool { return len(f.followed(0, back)) == len(f.procs) }); err != nil {
+						return err
+					}
+					if err := zone("auto", "farm", "b"); err != nil {
+						return err
+					}
+				}
+				calm, cancel := context.WithTimeout(ctx, part/4) // what was learnt of it is forgotten, as far as it can be
+				f.crowds(calm, name+"calm", load, ledger)
+				cancel()
+			}
+			e.Measure(fmt.Sprintf("%s_%.0f_used", k.name, load), served[false])
+			e.Measure(fmt.Sprintf("%s_%.0f_left", k.name, load), served[true])
+			gain = max(gain, served[true]-served[false])
+		}
+	}
+	e.Measure("most_gain", gain)
+	f.stop()
+	v := e.Rules(ledger)
+	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost("duplicates", float64(v.Doubled), 0)
+	return nil
+}
