Look before a zone is left; what is left out is not spoken of; a holder has seen all zones

Now five members of other zones, at most, look at up to three of its servers each once words would have it left: it stays where some answer, and waits for two that looked. A return waited five seconds for words of before, which nobody could take back since nobody sent there any more; a process takes back what it says of servers that it leaves out.

--- a/internal/council/orders.go
+++ b/internal/council/orders.go
@@ -35,6 +35,9 @@
 	// on: if another has come between, it is refused, and the holder looks again.
 	Token uint64 `json:"token,omitempty"`
 	After uint64 `json:"after,omitempty"`
+	// Seen, of a holder's word on a zone, is the newest decision on any zone of the pool that it knows of: what the others can bear was reckoned with
+	// those, and one that has come between may have left another zone.
+	Seen uint64 `json:"seen,omitempty"`
 	// Built has an operator's command build on After, too: a copy of it that comes late, or twice, changes nothing. Without it the command is
 	// carried out as often as it comes.
 	Built bool `json:"built,omitempty"`
@@ -84,6 +87,8 @@
 			r.Now = &was
 		}
 		return r
+	case c.Token != 0 && f.newestZone(c.Key) > c.Seen:
+		return OrderResult{Why: Meanwhile, Number: f.newestZone(c.Key)}
 	case c.Lift && (f.Orders[c.Key] == nil || f.Orders[c.Key].Lifted):
 		return OrderResult{Why: fmt.Sprintf("%q is not ordered", c.Key)}
 	case f.Orders[c.Key] == nil && len(f.Orders) >= MostOrders:
@@ -106,6 +111,20 @@
 	return 0
 }
 
+// newestZone is the number of the newest decision on a zone of the pool that key is of, 0 without one or for another kind of key.
+func (f *Fleet) newestZone(key string) (newest uint64) {
+	if replica.KindOf(key) != ZoneKind {
+		return 0
+	}
+	pool, _, _ := replica.ServerOf(key)
+	for other, o := range f.Orders {
+		if strings.HasPrefix(other, ZoneKind+"/"+pool+"/") {
+			newest = max(newest, o.Number)
+		}
+	}
+	return newest
+}
+
 // DecidedKinds are those of what the council decides.
 var DecidedKinds = []string{OrderKind, ZoneKind}
 
--- a/internal/council/orders_test.go
+++ b/internal/council/orders_test.go
@@ -15,15 +15,25 @@
 func TestOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := Founded("fleet", "a", "s", []string{"a"})
-		keys := []string{"order/farm/x", "zone/farm/b"}
+		keys := []string{"order/farm/x", "zone/farm/b", "zone/farm/c", "zone/other/b"}
 		var newest uint64
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			c := OrderCommand{
 				Key: rapid.SampledFrom(append(keys, "odd/x", "order")).Draw(t, "key"), Lift: rapid.Bool().Draw(t, "lift"), Value: "v",
 				Token: rapid.Uint64Range(0, 3).Draw(t, "token"), After: rapid.Uint64Range(0, 4).Draw(t, "after"),
-				Built: rapid.Bool().Draw(t, "built"),
+				Seen: rapid.Uint64Range(0, 40).Draw(t, "seen"), Built: rapid.Bool().Draw(t, "built"),
 			}
 			before := f.Orders[c.Key]
+			latest := uint64(0) // of any zone of the same pool
+			for key, o := range f.Orders {
+				if c.Key == "zone/farm/b" || c.Key == "zone/farm/c" {
+					if key == "zone/farm/b" || key == "zone/farm/c" {
+						latest = max(latest, o.Number)
+					}
+				} else if key == c.Key && key == "zone/other/b" {
+					latest = max(latest, o.Number)
+				}
+			}
 			was, decider := f.Ordered, f.Decider
 			r := f.order(c)
 			if r.Why != "" {
@@ -41,6 +51,9 @@
 			if c.Token != 0 && c.Token < decider || (c.Token != 0 || c.Built) && before != nil && before.Number != c.After {
 				t.Fatalf("%+v was done against token %d and %+v", c, decider, before)
 			}
+			if c.Token != 0 && latest > c.Seen {
+				t.Fatalf("%+v was done without having seen decision %d on another zone", c, latest)
+			}
 			if c.Lift && (before == nil || before.Lifted) {
 				t.Fatalf("%+v: there was nothing to lift", c)
 			}
@@ -52,7 +65,7 @@
 			entries = append(entries, replica.DecidedEntry(replica.FleetTag(f.ID), key, o.Number, o.Bytes()))
 		})
 		sum := uint64(0)
-		for _, i := range rapid.Permutation([]int{0, 1}).Draw(t, "order") {
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3}).Draw(t, "order") {
 			if i < len(entries) {
 				sum += entries[i].Sum()
 			}
--- a/internal/emulator/zones.go
+++ b/internal/emulator/zones.go
@@ -22,7 +22,8 @@
 const (
 	judgeEvery = 200 * time.Millisecond
 	wordFor    = 5 * time.Second // a word that is not said again counts no more
-	looksEach  = 2               // servers of a zone that was left that are looked at
+	lookers    = 5               // instances that look at a zone
+	looksEach  = 3               // servers of it that each looks at
 )
 
 // Decision is what was decided of a zone, for those who read a run.
@@ -81,23 +82,23 @@
 			}
 		}
 	}
-	for zone, d := range f.states {
-		if d.Step >= evacuate.Steps {
-			continue
-		}
+	for _, zone := range w.day.Zones {
 		at := 0
-		for _, in := range w.instances { // two that are there look, as a probe does
-			if at == looksEach || !in.up {
+		for _, in := range w.instances { // some that are there, of other zones, look at a few servers each, as probes do
+			if at == lookers || !in.up || in.zone == zone {
 				continue
 			}
-			at++
-			answers := true
+			answered, of := 0, 0
 			for n, x := range w.servers {
-				if x.zone == zone && !x.gone && n%looksEach == at%looksEach && x.dead() {
-					answers = false
+				if x.zone == zone && !x.gone && n%lookers == at && of < looksEach {
+					of++
+					if !x.dead() {
+						answered++
+					}
 				}
 			}
-			s.Looks = append(s.Looks, evacuate.Look{Member: in.name(), Zone: zone, Answers: answers})
+			at++
+			s.Looks = append(s.Looks, evacuate.Look{Member: in.name(), Zone: zone, Answers: answered == of, Silent: answered == 0})
 		}
 	}
 	return s
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -26,7 +26,7 @@
 	Step   time.Duration // how long a step of the return is looked at before the next
 	Hold   time.Duration // how long a zone that was left stays so at least; doubled by each relapse
 	Most   time.Duration // and never longer
-	Looks  int           // members that must find the zone to answer before the return begins
+	Looks  int           // members that must find the zone silent before it is left, and to answer before the return begins
 }
 
 // Usual are figures for zones of some servers each.
@@ -136,10 +136,12 @@
 // Word is that a member does not get answers from a server.
 type Word struct{ Member, Server string }
 
-// Look is whether a member gets answers from a zone that is not wholly in use, by a probe of its own.
+// Look is what a member gets from a zone by probes of its own, to a few of its servers: of one that is not wholly in use, or that words would have
+// left.
 type Look struct {
 	Member, Zone string
-	Answers      bool
+	Answers      bool // of all
+	Silent       bool // of none
 }
 
 // Scene is what is known of a pool at one moment.
@@ -162,6 +164,8 @@
 	OneSide   Cause = "only members of one zone get no answer: the way between is broken"
 	AllAlike  Cause = "servers of other zones are silent too: a release, or too much load"
 	NotEnough Cause = "too few servers would be left"
+	Unlooked  Cause = "its servers are silent to members of several zones, and too few have looked yet"
+	Partly    Cause = "its servers are silent to members of several zones, and some answer those that look"
 	Down      Cause = "its servers are silent to members of several zones"
 )
 
@@ -250,11 +254,50 @@
 			out[zone] = NotEnough
 		default:
 			out[zone] = Down
+			if d, is := s.Decided[zone]; !is || d.Step == Steps {
+				out[zone] = r.looked(s, zone)
+			}
 		}
 	}
 	return out
 }
 
+// Suspected reports whether a zone that is wholly in use is to be looked at: words alone would have it left.
+func (c Cause) Suspected() bool { return c == Unlooked || c == Partly || c == Down }
+
+// looked says what comes of words once it was looked whether they are so: a word is of one request that was not answered, and where one in eight is
+// lost enough members have such a word of each server. Those in the zone itself do not count, if there are others.
+func (r Rules) looked(s Scene, zone string) Cause {
+	eligible, outside := 0, false
+	for _, of := range s.Zones {
+		outside = outside || of != zone
+	}
+	for _, of := range s.Zones {
+		if of != zone || !outside {
+			eligible++
+		}
+	}
+	silent, some := 0, 0
+	for _, l := range s.Looks {
+		of, there := s.Zones[l.Member]
+		if !there || l.Zone != zone || outside && of == zone {
+			continue
+		}
+		if l.Silent {
+			silent++
+		} else {
+			some++
+		}
+	}
+	switch {
+	case some > 0 && float64(silent) < r.Down*float64(silent+some):
+		return Partly
+	case silent < min(r.Looks, eligible):
+		return Unlooked
+	}
+	return Down
+}
+
 func zonesOf(members map[string]string) map[string]bool {
 	all := map[string]bool{}
 	for _, z := range members {
--- a/internal/evacuate/evacuate_test.go
+++ b/internal/evacuate/evacuate_test.go
@@ -10,7 +10,7 @@
 	_ "sorrelrudder/internal/fixedseed"
 )
 
-// scene is three zones of four servers and four members each, of which the words say who finds what silent.
+// scene is three zones of four servers and four members each, of which the words say who finds what silent, and two of each zone look at others.
 func scene(silent func(memberZone string, member int, serverZone string, server int) bool) Scene {
 	s := Scene{Zones: map[string]string{}, Members: 12, Decided: map[string]State{}}
 	zones := []string{"a", "b", "c"}
@@ -28,6 +28,15 @@
 						s.Words = append(s.Words, Word{fmt.Sprint("m", mz, m), fmt.Sprint(sz, i)})
 					}
 				}
+				if m > 0 && m < 3 && mz != sz {
+					got := 0
+					for i := range 3 {
+						if !silent(mz, m, sz, i) {
+							got++
+						}
+					}
+					s.Looks = append(s.Looks, Look{fmt.Sprint("m", mz, m), sz, got == 3, got == 0})
+				}
 			}
 		}
 	}
@@ -55,6 +64,20 @@
 		"another zone is left": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) {
 			s.Decided["c"] = State{Step: 0}
 		}, NotEnough},
+		"nobody has looked yet": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) { s.Looks = nil }, Unlooked},
+		"one has looked":        {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) { s.Looks = []Look{{"ma1", "b", false, true}} }, Unlooked},
+		"only members in it have looked": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) {
+			s.Looks = []Look{{"mb1", "b", false, true}, {"mb2", "b", false, true}, {"mb3", "b", false, true}}
+		}, Unlooked},
+		"words of chance: those that look get answers": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) {
+			s.Looks = []Look{{"ma1", "b", true, false}, {"mc1", "b", false, false}, {"mc2", "b", false, true}}
+		}, Partly},
+		"one of four still reaches a server": {func(_ string, _ int, z string, _ int) bool { return z == "b" }, func(s *Scene) {
+			s.Looks = append(s.Looks[:0:0], Look{"ma1", "b", false, true}, Look{"ma2", "b", false, true}, Look{"mc1", "b", false, true}, Look{"mc2", "b", false, false})
+		}, Down},
+		"those in it see it well, and all others do not": {func(m string, _ int, z string, _ int) bool { return z == "b" && m != "b" }, func(s *Scene) {
+			s.Looks = append(s.Looks, Look{"mb1", "b", true, false}, Look{"mb2", "b", true, false}, Look{"mb3", "b", true, false})
+		}, Down},
 		"a liar from its own zone": {func(m string, i int, z string, _ int) bool { return m == "b" && i == 0 && z == "b" }, nil, OneSide},
 	} {
 		s := scene(c.silent)
@@ -84,17 +107,17 @@
 	if c := next(); c == nil || c.Zone != "b" || c.State.Step != 0 {
 		t.Fatalf("%+v", c)
 	}
-	s.Words = nil // nobody sends there any more
+	s.Words, s.Looks = nil, nil // nobody sends there any more
 	next()
 	now += time.Minute
 	if c := next(); c != nil {
 		t.Fatalf("nobody has looked, and it returns: %+v", c)
 	}
-	s.Looks = []Look{{"ma0", "b", true}}
+	s.Looks = []Look{{"ma0", "b", true, false}}
 	if c := next(); c != nil {
 		t.Fatalf("one has looked: %+v", c)
 	}
-	s.Looks = append(s.Looks, Look{"mc0", "b", true}, Look{"mc1", "b", false})
+	s.Looks = append(s.Looks, Look{"mc0", "b", true, false}, Look{"mc1", "b", false, true})
 	if c := next(); c != nil {
 		t.Fatalf("one gets no answer: %+v", c)
 	}
@@ -176,8 +199,8 @@
 					}
 				}
 			}
-			for m, z := range s.Zones {
-				s.Looks = append(s.Looks, Look{m, z, rapid.Bool().Draw(t, "answers")})
+			for m := range s.Zones {
+				s.Looks = append(s.Looks, Look{m, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "of"), rapid.Bool().Draw(t, "answers"), rapid.Bool().Draw(t, "silent too")})
 			}
 			if c, _ := k.Next(now, s); c != nil {
 				s.Decided[c.Zone] = c.State
@@ -215,7 +238,7 @@
 	k := NewKeeper(r)
 	s := Scene{
 		Servers: []Server{{"a1", "a"}, {"b1", "b"}, {"c1", "c"}}, Zones: map[string]string{"p": "a", "q": "b", "s": "c"}, Members: 3,
-		Looks: []Look{{"p", "b", true}, {"q", "b", true}}, Decided: map[string]State{"b": {}}, Epochs: map[string]uint64{"b": 1},
+		Looks: []Look{{"p", "b", true, false}, {"q", "b", true, false}}, Decided: map[string]State{"b": {}}, Epochs: map[string]uint64{"b": 1},
 	}
 	if c, _ := k.Next(0, s); c != nil {
 		t.Fatalf("%+v at once", c)
--- a/internal/explore/proc.go
+++ b/internal/explore/proc.go
@@ -556,20 +556,14 @@
 		if tries++; tries > 100 {
 			return
 		}
-		if from.up {
+		if from.up && w.now >= from.pausedUntil {
 			from.call(q(), func(r council.Response) {
 				if answered(r) {
 					tries = 100
 				}
 			})
 		}
-		w.after(200*time.Millisecond, func() {
-			if from.up {
-				from.deliver(ask)
-				return
-			}
-			ask()
-		})
+		w.after(200*time.Millisecond, ask)
 	}
 	ask()
 }
--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -121,8 +121,9 @@
 	if alone { // nothing else goes wrong: a zone that goes again while it is being returned to
 		zone := rng.IntN(zones)
 		at := faultsFrom + time.Duration(rng.IntN(2000))*time.Millisecond
-		all = append(all, Fault{At: at, Kind: ZoneDown, P: zone, For: time.Duration(1000+rng.IntN(2000)) * time.Millisecond})
-		at += 5500*time.Millisecond + time.Duration(rng.IntN(2500))*time.Millisecond
+		all = append(all, Fault{At: at, Kind: ZoneDown, P: zone, For: time.Duration(1000+rng.IntN(4000)) * time.Millisecond})
+		// While it is returned to: its servers answer again, and a hold and three steps follow.
+		at += all[0].For + 400*time.Millisecond + time.Duration(rng.IntN(1600))*time.Millisecond
 		return append(all, Fault{At: at, Kind: ZoneDown, P: zone, For: time.Duration(3000+rng.IntN(3000)) * time.Millisecond})
 	}
 	for n := 1 + rng.IntN(4); n > 0; n-- {
@@ -226,16 +227,26 @@
 	now := p.clock()
 	avoid := p.avoids()
 	for _, server := range slices.Sorted(maps.Keys(p.w.field.list)) {
-		if !avoid[server] && rng.IntN(2) == 0 {
+		if avoid[server] { // what it leaves out it says nothing of
+			z.evidence.Saw(now, n, replica.ServerKey(replica.DeadKind, zonePool, server), false)
+		} else if rng.IntN(2) == 0 {
 			z.evidence.Saw(now, n, replica.ServerKey(replica.DeadKind, zonePool, server), !p.w.field.answers(server, p.i%zones))
 		}
 	}
 	z.turn++
 	wanted := map[string]bool{}
-	for zone, server := range zonal.Looks(n, p.members(), p.name, zonePool, p.w.field.list, z.turn) {
+	r := p.w.zoneRules()
+	looks := zonal.Looks(n, &r, p.members(), p.name, zonePool, p.w.field.list, z.turn)
+	for _, zone := range slices.Sorted(maps.Keys(looks)) {
+		answered := 0
+		for _, server := range looks[zone] {
+			if p.w.field.answers(server, p.i%zones) {
+				answered++
+			}
+		}
 		key := replica.ServerKey(zonal.LookKind, zonePool, zone)
 		wanted[key] = true
-		n.Put(key, zonal.LookValue(p.w.field.answers(server, p.i%zones)))
+		n.Put(key, zonal.LookValue(answered, len(looks[zone])))
 		z.looked[key] = true
 	}
 	for _, key := range slices.Sorted(maps.Keys(z.looked)) {
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -100,7 +100,7 @@
 	k := &copies{
 		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), nudge: make(chan struct{}, 1), whole: -1,
 		avoiding: map[string]orders{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
-		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}}, looked: map[string]bool{},
+		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}, look: make(chan struct{}, 1)}, looked: map[string]bool{},
 		hints: map[string]bool{}, due: map[string]orders{}, saveAt: now + saveEvery,
 	}
 	if err := k.load(now, t.cfg.Name); err != nil {
@@ -140,6 +140,9 @@
 	for n := len(k.sights); n > 0; n-- {
 		s := <-k.sights
 		k.stirred = true
+		if s.silent && k.avoiding[s.pool].avoid[s.server] {
+			continue // what is left out is for those that look: a word of before must not stand in the way of a return
+		}
 		if key := replica.ServerKey(replica.DeadKind, s.pool, s.server); key != "" {
 			k.evidence.Saw(now, k.node, key, s.silent)
 		}
@@ -167,8 +170,8 @@
 	if k.pools != nil && k.stirred {
 		at = min(at, k.hintAt)
 	}
-	if z := &k.zones; z.cfg != nil && z.cfg.Automatic != ZonesOff && len(z.keepers) > 0 {
-		at = min(at, z.judgeAt) // while this process decides
+	if z := &k.zones; z.cfg != nil && z.cfg.Automatic != ZonesOff && (len(z.keepers) > 0 || k.node.Copies().Sum(replica.DeadKind) != 0) {
+		at = min(at, z.judgeAt) // while this process decides, or there is something to look at
 	}
 	if k.cfg.Figures > 0 {
 		at = min(at, k.toldAt+k.cfg.Figures)
@@ -322,6 +325,12 @@
 	k := t.copies
 	for _, pool := range slices.Sorted(maps.Keys(due)) {
 		done := k.pools.Avoid(pool, due[pool].avoid, due[pool].returning)
+		t.mu.Lock()
+		for server := range due[pool].avoid {
+			k.evidence.Saw(t.clock.Now(), k.node, replica.ServerKey(replica.DeadKind, pool, server), false)
+		}
+		t.keep()
+		t.mu.Unlock()
 		names := slices.Sorted(maps.Keys(due[pool].avoid))
 		if done {
 			t.log.Info("orders are carried out", "pool", pool, "avoided", names)
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sorrelrudder/internal/council"
@@ -42,6 +44,7 @@
 	askedAt time.Duration
 	advised map[string]string // by key, as the log was told
 	causes  map[string]evacuate.Cause
+	look    chan struct{} // a zone is to be looked at, and is not yet
 }
 
 // judge has the holder of the lease decide of zones, one change at a time. The caller has mu.
@@ -52,6 +55,18 @@
 		return
 	}
 	z.judgeAt = now + judgeEvery
+	if k.pools != nil && k.node.Copies().Sum(replica.DeadKind) != 0 {
+		for pool := range z.lists {
+			for zone := range k.looksOf(t, pool, 0) {
+				if !k.looked[replica.ServerKey(zonal.LookKind, pool, zone)] { // at once, and not with the next round
+					select {
+					case z.look <- struct{}{}:
+					default:
+					}
+				}
+			}
+		}
+	}
 	token, _, held := t.keeper.Holding(now, zonal.Lease)
 	if !held {
 		clear(z.keepers) // whoever holds it next begins anew
@@ -106,6 +121,7 @@
 		case <-t.ctx.Done():
 			return
 		case <-tick.C:
+		case <-t.copies.zones.look:
 		}
 	}
 }
@@ -118,7 +134,10 @@
 	for _, pool := range k.pools.PoolNames() {
 		lists[pool] = k.pools.Servers(pool)
 	}
-	type look struct{ pool, zone, server string }
+	type look struct {
+		pool, zone string
+		servers    []string
+	}
 	var looks []look
 	t.mu.Lock()
 	if !maps.EqualFunc(lists, k.zones.lists, maps.Equal[map[string]string]) {
@@ -128,8 +147,8 @@
 	wanted := map[string]bool{}
 	for _, pool := range slices.Sorted(maps.Keys(lists)) {
 		k.turns++
-		for zone, server := range zonal.Looks(k.node, t.cfg.Members, t.cfg.Name, pool, lists[pool], k.turns) {
-			looks = append(looks, look{pool, zone, server})
+		for zone, servers := range k.looksOf(t, pool, k.turns) {
+			looks = append(looks, look{pool, zone, servers})
 			wanted[replica.ServerKey(zonal.LookKind, pool, zone)] = true
 		}
 	}
@@ -142,10 +161,19 @@
 	t.keep()
 	t.mu.Unlock()
 	for _, l := range looks {
-		answers := k.pools.Look(l.pool, l.server)
+		var answered atomic.Int64
+		var all sync.WaitGroup
+		for _, server := range l.servers {
+			all.Go(func() {
+				if k.pools.Look(l.pool, server) {
+					answered.Add(1)
+				}
+			})
+		}
+		all.Wait()
 		t.mu.Lock()
 		key := replica.ServerKey(zonal.LookKind, l.pool, l.zone)
-		if k.node.Put(key, zonal.LookValue(answers)) {
+		if k.node.Put(key, zonal.LookValue(int(answered.Load()), len(l.servers))) {
 			k.looked[key] = true
 		}
 		t.keep()
@@ -153,6 +181,23 @@
 	}
 }
 
+// looksOf are the zones of a pool at which this process is to look, and servers of each. The caller has mu.
+func (k *copies) looksOf(t *Tier, pool string, turn int) map[string][]string {
+	var rules *evacuate.Rules
+	members := map[string]string{}
+	if cfg := k.zones.cfg; cfg != nil {
+		members = cfg.Members
+		if cfg.Automatic != ZonesOff {
+			rules = &cfg.Rules
+		}
+	} else {
+		for name := range t.cfg.Members {
+			members[name] = ""
+		}
+	}
+	return zonal.Looks(k.node, rules, members, t.cfg.Name, pool, k.zones.lists[pool], turn)
+}
+
 // addZones adds to a pool's orders those about zones that are not wholly in use.
 func (k *copies) addZones(at func(pool string) orders) {
 	for pool, list := range k.zones.lists {
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -22,15 +22,21 @@
 	// Lookers is how many members look at a zone, at most, all together.
 	Lookers = 5
 
-	answers, silent = "1", "0"
+	// LooksEach is at how many servers of a zone a member looks at once, of as many as there are.
+	LooksEach = 3
+
+	answers, partly, silent = "1", "p", "0"
 )
 
-// LookValue is what a member writes of its look.
-func LookValue(got bool) []byte {
-	if got {
-		return []byte(answers)
+// LookValue is what a member writes of its look: so many servers have answered, of so many.
+func LookValue(answered, of int) []byte {
+	switch {
+	case answered == 0:
+		return []byte(silent)
+	case answered < of:
+		return []byte(partly)
 	}
-	return []byte(silent)
+	return []byte(answers)
 }
 
 // Decided is what is decided of a pool's zones, and the numbers of the decisions.
@@ -72,11 +78,11 @@
 	})
 	n.Copies().All(LookKind+"/"+pool+"/", func(e *replica.Entry) bool {
 		if _, zone, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
-			got := true
-			for _, v := range e.Values() {
-				got = got && string(v) == answers
+			l := evacuate.Look{Member: e.Owner, Zone: zone, Answers: true, Silent: true}
+			for _, v := range e.Values() { // of several contents of one version none is believed that would change anything
+				l.Answers, l.Silent = l.Answers && string(v) == answers, l.Silent && string(v) == silent
 			}
-			s.Looks = append(s.Looks, evacuate.Look{Member: e.Owner, Zone: zone, Answers: got})
+			s.Looks = append(s.Looks, l)
 		}
 		return true
 	})
@@ -109,28 +115,50 @@
 	return avoid, returning
 }
 
-// LooksAt reports whether a member is one of those that look at a zone that was left: a few of those that are there to it, not all.
-func LooksAt[V any](n *replica.Node, members map[string]V, name, zone string) bool {
+// looksAt reports whether a member is one of those that look at a zone: a few of those that are there to it and not in the zone, not all.
+func looksAt(n *replica.Node, members map[string]string, name, zone string) bool {
 	rank := func(name string) uint64 {
 		h := fnv.New64a()
 		h.Write([]byte(name + "/" + zone))
 		return h.Sum64()
 	}
+	there := func(other string) bool { return other == name || n.Member(other).State == replica.Alive }
+	outside := false
+	for other, in := range members {
+		outside = outside || in != zone && there(other)
+	}
+	if outside && members[name] == zone {
+		return false
+	}
 	mine, before := rank(name), 0
-	for other := range members {
-		if other != name && n.Member(other).State == replica.Alive && rank(other) < mine {
+	for other, in := range members {
+		if other != name && there(other) && (in != zone || !outside) && rank(other) < mine {
 			before++
 		}
 	}
 	return before < Lookers
 }
 
-// Looks are the zones of a pool at which a member is to look, and at which server of each: another each turn.
-func Looks[V any](n *replica.Node, members map[string]V, name, pool string, list map[string]string, turn int) map[string]string {
+// Looks are the zones of a pool at which a member is to look, and at which servers of each: others each turn. Those are the zones that are not wholly
+// in use, and with rules those that words would have left.
+func Looks(n *replica.Node, rules *evacuate.Rules, members map[string]string, name, pool string, list map[string]string, turn int) map[string][]string {
 	states, _ := Decided(n, pool)
-	at := map[string]string{}
-	for _, zone := range slices.Sorted(maps.Keys(states)) {
-		if states[zone].Step >= evacuate.Steps || !LooksAt(n, members, name, zone) {
+	wanted := map[string]bool{}
+	for zone, s := range states {
+		if s.Step < evacuate.Steps {
+			wanted[zone] = true
+		}
+	}
+	if rules != nil && n.Copies().Sum(replica.DeadKind) != 0 {
+		for zone, cause := range rules.Judge(Scene(n, members, pool, list)) {
+			if cause.Suspected() {
+				wanted[zone] = true
+			}
+		}
+	}
+	at := map[string][]string{}
+	for _, zone := range slices.Sorted(maps.Keys(wanted)) {
+		if !looksAt(n, members, name, zone) {
 			continue
 		}
 		var of []string
@@ -139,9 +167,9 @@
 				of = append(of, server)
 			}
 		}
-		if len(of) > 0 {
-			slices.Sort(of)
-			at[zone] = of[turn%len(of)]
+		slices.Sort(of)
+		for i := range min(LooksEach, len(of)) {
+			at[zone] = append(at[zone], of[(turn+i)%len(of)])
 		}
 	}
 	return at
@@ -150,7 +178,11 @@
 // Command is what the holder of the lease asks the council for a change, under its token and building on what it knows to be decided.
 func Command(n *replica.Node, pool string, change evacuate.Change, token uint64) council.OrderCommand {
 	_, numbers := Decided(n, pool)
-	return council.OrderCommand{
+	c := council.OrderCommand{
 		Key: replica.ServerKey(council.ZoneKind, pool, change.Zone), Value: change.State.Encode(), Token: token, After: numbers[change.Zone],
 	}
+	for _, number := range numbers {
+		c.Seen = max(c.Seen, number)
+	}
+	return c
 }
