--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -281,7 +281,9 @@
 		scene.Looks = nil
 		for _, member := range slices.Sorted(maps.Keys(scene.Zones)) {
 			for zone := range zones {
-				scene.Looks = append(scene.Looks, evacuate.Look{Member: member, Zone: zoneName(zone), Answers: true})
+				if s, is := scene.Decided[zoneName(zone)]; is && s.Step < evacuate.Steps {
+					scene.Looks = append(scene.Looks, evacuate.Look{Member: member, Zone: zoneName(zone), Answers: true})
+				}
 			}
 		}
 	case Minority:
