--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -26,6 +26,7 @@
 	Step   time.Duration // how long a step of the return is looked at before the next
 	Hold   time.Duration // how long a zone that was left stays so at least; doubled by each relapse
 	Most   time.Duration // and never longer
+	Grey   bool          // a zone that fails in part is left, too
 	Looks  int           // members that must find the zone silent before it is left, and to answer before the return begins
 }
 
@@ -144,6 +145,9 @@
 	Silent       bool // of none
 }
 
+// GreyWord is that a zone fails in part, to a member, by what became of its own requests.
+type GreyWord struct{ Member, Zone string }
+
 // Scene is what is known of a pool at one moment.
 type Scene struct {
 	Servers []Server          // that the list names ready
@@ -151,6 +155,7 @@
 	Members int               // of the fleet by its file
 	Words   []Word
 	Looks   []Look
+	Greys   []GreyWord
 	Decided map[string]State
 	Epochs  map[string]uint64 // of what is decided
 }
@@ -166,6 +171,7 @@
 	NotEnough Cause = "too few servers would be left"
 	Unlooked  Cause = "its servers are silent to members of several zones, and too few have looked yet"
 	Partly    Cause = "its servers are silent to members of several zones, and some answer those that look"
+	GreyZone  Cause = "it fails in part, to members of several zones"
 	Down      Cause = "its servers are silent to members of several zones"
 )
 
@@ -224,10 +230,12 @@
 			witnesses[z][s.Zones[member]] = true
 		}
 	}
+	grey := r.greys(s)
 	out := map[string]Cause{}
 	for _, zone := range slices.Sorted(maps.Keys(servers)) {
 		n := len(servers[zone])
-		if n == 0 || float64(len(silent[zone])) < r.Down*float64(n) {
+		down := float64(len(silent[zone])) >= r.Down*float64(n)
+		if n == 0 || !down && !grey[zone] {
 			out[zone] = Well
 			continue
 		}
@@ -246,12 +254,17 @@
 		switch {
 		case 2*len(s.Zones) <= s.Members:
 			out[zone] = Minority
-		case len(witnesses[zone]) < 2 && len(zonesOf(s.Zones)) > 1:
+		case down && len(witnesses[zone]) < 2 && len(zonesOf(s.Zones)) > 1:
 			out[zone] = OneSide
 		case float64(quiet) > r.Others*float64(others):
 			out[zone] = AllAlike
 		case others == 0 || float64(others) < r.Least*float64(total):
 			out[zone] = NotEnough
+		case !down:
+			out[zone] = GreyZone
+			if len(grey) > 1 {
+				out[zone] = AllAlike
+			}
 		default:
 			out[zone] = Down
 			if d, is := s.Decided[zone]; !is || d.Step == Steps {
@@ -262,6 +275,43 @@
 	return out
 }
 
+// greys are the zones of which enough members say that they fail in part: of two zones at least, where members are in several, and a quarter of those
+// that could say so. The zone's own do not count, if there are others.
+func (r Rules) greys(s Scene) map[string]bool {
+	all := map[string]bool{}
+	if !r.Grey {
+		return all
+	}
+	by := map[string]map[string]bool{}
+	for _, g := range s.Greys {
+		if _, there := s.Zones[g.Member]; there {
+			if by[g.Zone] == nil {
+				by[g.Zone] = map[string]bool{}
+			}
+			by[g.Zone][g.Member] = true
+		}
+	}
+	for zone, members := range by {
+		said, could, from, zones := 0, 0, map[string]bool{}, map[string]bool{}
+		for member, of := range s.Zones {
+			if of == zone && len(zonesOf(s.Zones)) > 1 {
+				continue
+			}
+			could++
+			zones[of] = true
+			if members[member] {
+				said++
+				from[of] = true
+			}
+		}
+		all[zone] = said >= min(2, could) && 4*said >= could && len(from) >= min(2, len(zones))
+		if !all[zone] {
+			delete(all, zone)
+		}
+	}
+	return all
+}
+
 // Suspected reports whether a zone that is wholly in use is to be looked at: words alone would have it left.
 func (c Cause) Suspected() bool { return c == Unlooked || c == Partly || c == Down }
 
@@ -343,23 +393,37 @@
 		}
 		waited := now - k.since[zone]
 		switch {
-		case causes[zone] == Down && d.Step == Steps:
-			change = &Change{zone, State{Step: 0, Falls: d.Falls, Why: string(Down)}}
-		case causes[zone] == Down && d.Step > 0: // it hurts: back, and the next time later
-			change = &Change{zone, State{Step: max(0, d.Step-2), Falls: d.Falls + 1, Why: "a step hurt: " + string(Down)}}
+		case bad(causes[zone]) && d.Step == Steps:
+			change = &Change{zone, State{Step: 0, Falls: k.falls(now, zone, d), Why: string(causes[zone])}}
+		case bad(causes[zone]) && d.Step > 0: // it hurts: back, and the next time later
+			change = &Change{zone, State{Step: max(0, d.Step-2), Falls: d.Falls + 1, Why: "a step hurt: " + string(causes[zone])}}
 		case d.Step == 0 && causes[zone] == Well && waited >= k.hold(d.Falls) && k.answers(s, zone): // no word of before is left either
 			change = &Change{zone, State{Step: 1, Falls: d.Falls, Why: "it answers again"}}
 		case d.Step > 0 && d.Step < Steps && waited >= k.rules.Step && k.answers(s, zone):
 			next := State{Step: d.Step + 1, Falls: d.Falls, Why: "a step was borne"}
-			if next.Step == Steps {
-				next.Falls = 0
-			}
 			change = &Change{zone, next}
 		}
 	}
 	return change, causes
 }
 
+func bad(c Cause) bool { return c == Down || c == GreyZone }
+
+// falls are those that a zone that is left has had. One that fails in part is found out only once it has work again: a return that was followed by
+// another leave within a while counts as a relapse, else it would come and go for good.
+func (k *Keeper) falls(now time.Duration, zone string, d State) int {
+	switch waited := now - k.since[zone]; {
+	case d.Falls == 0 && k.epoch[zone] == 0: // never left, as far as is known
+		return 0
+	case waited < k.hold(d.Falls+1)+relapseTime:
+		return d.Falls + 1
+	}
+	return 0
+}
+
+// relapseTime is within how long after the last step a zone that is left again has not been well meanwhile: what shows under full load shows by then.
+const relapseTime = 30 * time.Second
+
 // hold is how long a zone that was left stays so at least.
 func (k *Keeper) hold(falls int) time.Duration {
 	return min(k.rules.Hold<<min(falls, 20), k.rules.Most)
--- a/internal/evacuate/evacuate_test.go
+++ b/internal/evacuate/evacuate_test.go
@@ -78,13 +78,30 @@
 		"those in it see it well, and all others do not": {func(m string, _ int, z string, _ int) bool { return z == "b" && m != "b" }, func(s *Scene) {
 			s.Looks = append(s.Looks, Look{"mb1", "b", true, false}, Look{"mb2", "b", true, false}, Look{"mb3", "b", true, false})
 		}, Down},
+		"grey to members of two zones": {func(string, int, string, int) bool { return false }, func(s *Scene) {
+			s.Greys = []GreyWord{{"ma0", "b"}, {"mc1", "b"}}
+		}, GreyZone},
+		"grey to one zone only": {func(string, int, string, int) bool { return false }, func(s *Scene) {
+			s.Greys = []GreyWord{{"ma0", "b"}, {"ma1", "b"}, {"ma2", "b"}}
+		}, Well},
+		"grey to too few": {func(string, int, string, int) bool { return false }, func(s *Scene) {
+			s.Greys = []GreyWord{{"ma0", "b"}, {"mb1", "b"}, {"mb2", "b"}}
+		}, Well},
+		"two zones grey alike": {func(string, int, string, int) bool { return false }, func(s *Scene) {
+			s.Greys = []GreyWord{{"ma0", "b"}, {"mc1", "b"}, {"mb0", "a"}, {"mc1", "a"}}
+		}, AllAlike},
+		"grey, and another is left": {func(string, int, string, int) bool { return false }, func(s *Scene) {
+			s.Greys, s.Decided["c"] = []GreyWord{{"ma0", "b"}, {"mc1", "b"}}, State{Step: 0}
+		}, NotEnough},
 		"a liar from its own zone": {func(m string, i int, z string, _ int) bool { return m == "b" && i == 0 && z == "b" }, nil, OneSide},
 	} {
 		s := scene(c.silent)
 		if c.change != nil {
 			c.change(&s)
 		}
-		if got := Usual().Judge(s)["b"]; got != c.want {
+		r := Usual()
+		r.Grey = true
+		if got := r.Judge(s)["b"]; got != c.want {
 			t.Errorf("%s: %q, want %q", name, got, c.want)
 		}
 	}
--- /dev/null
+++ b/internal/evacuate/grey_test.go
@@ -0,0 +1,89 @@
+package evacuate
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestGrey: what is a zone that fails in part to a member, and what is not.
+func TestGrey(t *testing.T) {
+	ms := time.Millisecond
+	type rate struct {
+		n      int64 // each half second
+		failed int64
+		delay  time.Duration
+	}
+	for name, c := range map[string]struct {
+		before, after map[string]rate
+		want          []string
+	}{
+		"well":              {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, nil},
+		"one in eight":      {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 1, 20 * ms}}, []string{"b"}},
+		"all fail alike":    {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, map[string]rate{"a": {8, 1, 20 * ms}, "b": {8, 1, 20 * ms}}, nil},
+		"slow by ten":       {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 200 * ms}}, []string{"b"}},
+		"far by nature":     {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 200 * ms}}, map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 200 * ms}}, nil},
+		"all slow, of load": {map[string]rate{"a": {8, 0, 20 * ms}, "b": {8, 0, 20 * ms}}, map[string]rate{"a": {8, 0, 120 * ms}, "b": {8, 0, 200 * ms}}, nil},
+		"too few":           {map[string]rate{"a": {8, 0, 20 * ms}, "b": {1, 0, 20 * ms}}, map[string]rate{"a": {8, 0, 20 * ms}, "b": {1, 1, 20 * ms}}, nil},
+		"no other zone":     {map[string]rate{"b": {8, 0, 20 * ms}}, map[string]rate{"b": {8, 4, 20 * ms}}, nil},
+	} {
+		g := NewGrey(UsualGrey())
+		now := time.Duration(0)
+		zones := map[string]Tally{}
+		play := func(rates map[string]rate, turns int) (got []string) {
+			for range turns {
+				now += 500 * ms
+				next := map[string]Tally{}
+				for zone, r := range rates {
+					z := zones[zone]
+					next[zone] = Tally{z.Answered + r.n - r.failed, z.Failed + r.failed, z.Delay + time.Duration(r.n-r.failed)*r.delay}
+				}
+				zones = next
+				got = g.Turn(now, zones)
+			}
+			return got
+		}
+		if got := play(c.before, 20); len(got) > 0 {
+			t.Errorf("%s: %v before anything happens", name, got)
+		}
+		if got := play(c.after, 9); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+		if got := play(c.after, 200); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v after long, want %v: what is far from usual has become it", name, got, c.want)
+		}
+		if got := play(c.before, 20); len(got) > 0 {
+			t.Errorf("%s: still %v once all is as before", name, got)
+		}
+	}
+}
+
+// TestGreyBounds: whatever the tallies are, nothing is said without enough attempts, and no more is kept than the window.
+func TestGreyBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGrey(UsualGrey())
+		zones := map[string]Tally{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 200).Draw(t, "turns") {
+			now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			next := map[string]Tally{}
+			for _, z := range []string{"a", "b", "c"} {
+				x := zones[z]
+				answered := rapid.Int64Range(0, 5).Draw(t, "answered")
+				next[z] = Tally{x.Answered + answered, x.Failed + rapid.Int64Range(0, 3).Draw(t, "failed"), x.Delay + time.Duration(answered)*time.Duration(rapid.IntRange(0, 900).Draw(t, "delay"))*time.Millisecond}
+			}
+			zones = next
+			for _, z := range g.Turn(now, zones) {
+				from := g.turns[0].zones[z]
+				if n := zones[z].Answered + zones[z].Failed - from.Answered - from.Failed; n < g.rules.Least {
+					t.Fatalf("%s is grey by %d attempts", z, n)
+				}
+			}
+			if len(g.turns) > turnsKept {
+				t.Fatalf("%d turns are kept", len(g.turns))
+			}
+		}
+	})
+}
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // OnSilent has f told of each server that has not answered a pool, each time, and once it answers again. It is called under the pool's lock,
@@ -48,6 +49,13 @@
 	return zones
 }
 
+// Outcomes are what became of a pool's attempts, by zone; see pool.Pool.Outcomes.
+func (g *Gateway) Outcomes(pool string, f func(zone string, answered, failed int64, delay time.Duration)) {
+	if m := g.table.Load().pools[pool]; m != nil {
+		m.pool.Outcomes(f)
+	}
+}
+
 // Look asks a server of a pool whether it answers.
 func (g *Gateway) Look(pool, server string) bool {
 	m := g.table.Load().pools[pool]
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -31,6 +31,10 @@
 		Name: "zone-grey", Duration: 48 * time.Second, Run: zoneGrey,
 		Summary: "a zone that fails by half (slow by ten, one in eight answers an error, lost or late), used by each process as it sees fit, and left by order: what leaving it is worth",
 	})
+	Register(Scenario{
+		Name: "zone-grey-auto", Duration: 48 * time.Second, Run: zoneGreyAuto,
+		Summary: "the same kinds of failing by half, found and left by the fleet itself, and used by each process as it sees fit, on the same seed",
+	})
 	Register(Scenario{
 		Name: "zone-torn", Duration: 16 * time.Second, Run: zoneTorn,
 		Summary: "what only looks like a lost zone: half of its servers dead, servers of all zones dead alike, members that are cut off: nothing is left",
@@ -58,10 +62,21 @@
 
 // zoneFleet starts twelve processes in three zones, with three boxes in each, which are cold at their start.
 func (e *Env) zoneFleet(ctx context.Context, ledger *standin.Ledger, zones bool, voters int) (*fleet, error) {
-	return e.zoneFleetOf(ctx, ledger, zones, zoneProcesses, voters, "", func(b *standin.BoxConfig) { b.Service, b.Cores, b.Queue = 40*time.Millisecond, 2, 200 })
+	return e.zoneFleetOf(ctx, ledger, zones, zoneProcesses, voters, "", usualBox)
+}
+
+func usualBox(b *standin.BoxConfig) { b.Service, b.Cores, b.Queue = 40*time.Millisecond, 2, 200 }
+
+// zoneFleetMore is the usual one with further keys of [tier.zones], or of processes each for itself.
+func (e *Env) zoneFleetMore(ctx context.Context, ledger *standin.Ledger, zones bool, more string) (*fleet, error) {
+	return e.zoneFleetKeys(ctx, ledger, zones, zoneProcesses, 3, "", more, usualBox)
 }
 
 func (e *Env) zoneFleetOf(ctx context.Context, ledger *standin.Ledger, zones bool, processes, voters int, pool string, box func(*standin.BoxConfig)) (*fleet, error) {
+	return e.zoneFleetKeys(ctx, ledger, zones, processes, voters, pool, "", box)
+}
+
+func (e *Env) zoneFleetKeys(ctx context.Context, ledger *standin.Ledger, zones bool, processes, voters int, pool, more string, box func(*standin.BoxConfig)) (*fleet, error) {
 	n := 0
 	cfg := fleetConfig{
 		processes: processes, voters: voters, nboxes: zoneBoxes, ledger: ledger, dealt: true, copies: usualCopies, pool: pool, plain: pool != "",
@@ -73,7 +88,7 @@
 		},
 	}
 	if zones {
-		cfg.copies += zoneStep
+		cfg.copies += zoneStep + more
 	} else {
 		cfg.copies = "" // each for itself
 	}
@@ -665,18 +680,19 @@
 	return nil
 }
 
+var greyKinds = []struct {
+	name  string
+	fault standin.Fault
+}{
+	{"errors", standin.Fault{Kind: standin.Error, Share: 0.125}},
+	{"lost", standin.Fault{Kind: standin.Silent, Share: 0.125}},
+	{"slow", standin.Fault{Kind: standin.Slow, Share: 1, Delay: 360 * time.Millisecond}},
+	{"half", standin.Fault{Kind: standin.Error, Share: 0.5}},
+}
+
 // zoneGrey measures what it would be worth to leave a zone that fails by half: the same load on it as each process uses it, and with it left by an
 // operator's order.
 func zoneGrey(ctx context.Context, e *Env) error {
-	kinds := []struct {
-		name  string
-		fault standin.Fault
-	}{
-		{"errors", standin.Fault{Kind: standin.Error, Share: 0.125}},
-		{"lost", standin.Fault{Kind: standin.Silent, Share: 0.125}},
-		{"slow", standin.Fault{Kind: standin.Slow, Share: 1, Delay: 360 * time.Millisecond}},
-		{"half", standin.Fault{Kind: standin.Error, Share: 0.5}},
-	}
 	ledger := standin.NewLedger()
 	f, err := e.zoneFleet(ctx, ledger, true, 3)
 	if err != nil {
@@ -689,10 +705,10 @@
 		}
 		return nil
 	}
-	part := e.Duration / time.Duration(2*len(kinds)+2)
+	part := e.Duration / time.Duration(2*len(greyKinds)+2)
 	gain := 0.0
 	for _, load := range []float64{10, 20} { // some 0.3 and 0.6 of what all bear
-		for _, k := range kinds {
+		for _, k := range greyKinds {
 			served := map[bool]float64{}
 			for _, left := range []bool{false, true} {
 				at := time.Now()
@@ -744,3 +760,55 @@
 	e.AtMost("duplicates", float64(v.Doubled), 0)
 	return nil
 }
+
+// zoneGreyAuto has the fleet find out by itself which zone fails by half.
+func zoneGreyAuto(ctx context.Context, e *Env) error {
+	const load = 12 // some four requests a second at each zone, by each process
+	gain := 0.0
+	part := e.Duration / time.Duration(2*len(greyKinds))
+	for _, k := range greyKinds {
+		served := map[bool]float64{}
+		for _, auto := range []bool{false, true} {
+			ledger := standin.NewLedger()
+			f, err := e.zoneFleetMore(ctx, ledger, auto, "grey = true\n")
+			if err != nil {
+				return err
+			}
+			e.Phase(fmt.Sprintf("%s, by itself: %v", k.name, auto), part)
+			calm, cancel := context.WithTimeout(ctx, 5*time.Second) // what is usual
+			f.crowds(calm, k.name+"calm", load, ledger)
+			cancel()
+			at := time.Now()
+			for _, b := range f.inZone("b") {
+				b.SetFault(k.fault)
+			}
+			run, cancel := context.WithTimeout(ctx, 2*part)
+			crowd := f.crowds(run, k.name, load, ledger)
+			cancel()
+			served[auto] = crowd.Share()
+			if auto {
+				left := f.followed(3, at)
+				e.Measure(k.name+"_followed", float64(len(left)))
+				if len(left) > 0 {
+					e.Measure(k.name+"_left_s", left[len(left)-1].Sub(at).Seconds())
+				}
+				for _, p := range f.procs {
+					for _, line := range p.prog.Lines() {
+						if Field(line, "msg") == "a zone is decided" && Field(line, "zone") != "b" {
+							e.Broken("zone %s is decided, and zone b fails", Field(line, "zone"))
+						}
+					}
+				}
+			}
+			f.stop()
+			v := e.Rules(ledger)
+			e.AtLeast(fmt.Sprintf("%s_%v_answered_once", k.name, auto), float64(v.Answered)/float64(max(1, v.Tries)), 1)
+			e.AtMost(fmt.Sprintf("%s_%v_duplicates", k.name, auto), float64(v.Doubled), 0)
+		}
+		e.Measure(k.name+"_served_alone", served[false])
+		e.Measure(k.name+"_served", served[true])
+		gain += served[true] - served[false]
+	}
+	e.AtLeast("gain", gain/float64(len(greyKinds)), 0)
+	return nil
+}
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -86,7 +86,7 @@
 		c.Zones = &tier.ZonesConfig{Automatic: z.word("automatic", tier.ZonesAdvise, tier.ZonesOff, tier.ZonesAdvise, tier.ZonesOn), Members: zones, Rules: evacuate.Rules{
 			Down: z.number("down", usual.Down, 0.01, 1), Others: z.number("others", usual.Others, 0, 1), Least: z.number("least", usual.Least, 0, 0.99),
 			Step: z.duration("step", usual.Step, 100*time.Millisecond, time.Hour), Hold: z.duration("hold", usual.Hold, 100*time.Millisecond, time.Hour),
-			Most: z.duration("hold_most", usual.Most, 100*time.Millisecond, 24*time.Hour), Looks: int(z.whole("looks", int64(usual.Looks), 1, 5)),
+			Most: z.duration("hold_most", usual.Most, 100*time.Millisecond, 24*time.Hour), Looks: int(z.whole("looks", int64(usual.Looks), 1, 5)), Grey: z.boolean("grey", usual.Grey),
 		}}
 		z.done()
 		if c.Copies == nil {
--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"sorrelrudder/internal/source"
 	"sorrelrudder/policy"
 )
@@ -28,6 +30,49 @@
 	}
 }
 
+// outcomes count what became of attempts at the servers of a zone.
+type outcomes struct {
+	answered, failed int64
+	delay            time.Duration
+}
+
+// count counts an attempt that has ended. One that was called off, since another was quicker, has taken as long at least.
+func (p *Pool) count(zone string, status policy.Status, took time.Duration) {
+	if p.silent == nil || zone == "" {
+		return
+	}
+	o := p.outcomes[zone]
+	if o == nil {
+		if p.outcomes == nil {
+			p.outcomes = map[string]*outcomes{}
+		}
+		if len(p.outcomes) >= mostZones {
+			return
+		}
+		o = &outcomes{}
+		p.outcomes[zone] = o
+	}
+	switch status {
+	case policy.OK, policy.Canceled:
+		o.answered++
+		o.delay += took
+	case policy.AppError, policy.Timeout, policy.Reset, policy.ConnectFailed:
+		o.failed++
+	}
+}
+
+// mostZones bounds the zones that are counted: a list may name ever new ones.
+const mostZones = 64
+
+// Outcomes calls f with what became of attempts at each zone's servers since the start: answers, with the sum of their delays, and failures.
+func (p *Pool) Outcomes(f func(zone string, answered, failed int64, delay time.Duration)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for zone, o := range p.outcomes {
+		f(zone, o.answered, o.failed, o.delay)
+	}
+}
+
 // Hint has the module hear that a server does not answer others. It only ever makes it careful: see policy.Balancer.Hint.
 func (p *Pool) Hint(server string) {
 	p.event(func(now policy.Time) { p.balancer.Hint(now, policy.ServerID(server)) })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -125,6 +125,7 @@
 	tells     bool      // it is
 	silent    func(server string, is bool)
 	said      map[policy.ServerID]bool // that silent was told of
+	outcomes  map[string]*outcomes     // by zone, where silent asks; nil: nobody does
 	avoided   map[string]bool          // servers that take nothing new, by order
 	returned  map[string]policy.Time   // servers that were avoided, and since when they are not
 }
@@ -374,6 +375,7 @@
 		Closed: r.ended, Load: load,
 	}, p)
 	p.notice(a.server, status)
+	p.count(a.zone, status, now-a.sent)
 	p.forget(r)
 	return taken
 }
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -34,6 +34,7 @@
 	PoolNames() []string
 	Servers(pool string) (zones map[string]string) // by the server's name
 	Look(pool, server string) (answers bool)
+	Outcomes(pool string, f func(zone string, answered, failed int64, delay time.Duration)) // by zone, since the start
 }
 
 const (
@@ -91,7 +92,7 @@
 	}
 	cfg := replica.Usual()
 	cfg.Name, cfg.Members = t.cfg.Name, slices.Sorted(maps.Keys(t.cfg.Members))
-	cfg.Kinds, cfg.Decided = []string{replica.DeadKind, zonal.LookKind}, council.DecidedKinds
+	cfg.Kinds, cfg.Decided = []string{replica.DeadKind, zonal.LookKind, zonal.GreyKind}, council.DecidedKinds
 	cfg.Gossip, cfg.Probe, cfg.Sync, cfg.Keep, cfg.Fanout, cfg.Budget = c.Gossip, c.Probe, c.Sync, c.Keep, c.Fanout, c.Budget
 	h := fnv.New64a()
 	h.Write([]byte(t.keeper.Start()))
@@ -100,7 +101,7 @@
 	k := &copies{
 		cfg: *c, node: replica.New(now, cfg), evidence: replica.NewEvidence(c.Witnesses), sights: make(chan sight, sightsLen), nudge: make(chan struct{}, 1), whole: -1,
 		avoiding: map[string]orders{}, kept: map[string]bool{}, work: make(chan struct{}, 1),
-		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}, look: make(chan struct{}, 1)}, looked: map[string]bool{},
+		zones: zones{cfg: t.cfg.Zones, keepers: map[string]*evacuate.Keeper{}, advised: map[string]string{}, causes: map[string]evacuate.Cause{}, look: make(chan struct{}, 1), grey: map[string]*evacuate.Grey{}, said: map[string]bool{}}, looked: map[string]bool{},
 		hints: map[string]bool{}, due: map[string]orders{}, saveAt: now + saveEvery,
 	}
 	if err := k.load(now, t.cfg.Name); err != nil {
@@ -448,7 +449,7 @@
 		s.Members[name] = k.node.Member(name).State.String()
 	}
 	s.Zones = k.zonesStatus()
-	for _, kind := range append([]string{replica.DeadKind, zonal.LookKind}, council.DecidedKinds...) {
+	for _, kind := range append([]string{replica.DeadKind, zonal.LookKind, zonal.GreyKind}, council.DecidedKinds...) {
 		s.Sums[kind] = k.node.Copies().Sum(kind)
 	}
 	for pool, kept := range k.kept {
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -63,6 +63,8 @@
 	return !f.down[f.zones[server]]
 }
 
+func (f *farmPools) Outcomes(string, func(string, int64, int64, time.Duration)) {}
+
 func (f *farmPools) sees(server string, silent bool) {
 	f.mu.Lock()
 	s := f.silent
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -44,7 +44,9 @@
 	askedAt time.Duration
 	advised map[string]string // by key, as the log was told
 	causes  map[string]evacuate.Cause
-	look    chan struct{} // a zone is to be looked at, and is not yet
+	grey    map[string]*evacuate.Grey // by pool
+	said    map[string]bool           // keys of grey zones that are written
+	look    chan struct{}             // a zone is to be looked at, and is not yet
 }
 
 // judge has the holder of the lease decide of zones, one change at a time. The caller has mu.
@@ -131,8 +133,13 @@
 func (t *Tier) lookAround() {
 	k := t.copies
 	lists := map[string]map[string]string{}
+	tallies := map[string]map[string]evacuate.Tally{}
 	for _, pool := range k.pools.PoolNames() {
 		lists[pool] = k.pools.Servers(pool)
+		tallies[pool] = map[string]evacuate.Tally{}
+		k.pools.Outcomes(pool, func(zone string, answered, failed int64, delay time.Duration) {
+			tallies[pool][zone] = evacuate.Tally{Answered: answered, Failed: failed, Delay: delay}
+		})
 	}
 	type look struct {
 		pool, zone string
@@ -144,6 +151,7 @@
 		k.ordered, k.stirred = true, true // servers may be new
 	}
 	k.zones.lists = lists
+	t.sayGreys(tallies)
 	wanted := map[string]bool{}
 	for _, pool := range slices.Sorted(maps.Keys(lists)) {
 		k.turns++
@@ -181,6 +189,37 @@
 	}
 }
 
+// sayGreys writes which zones fail in part to this process. The caller has mu.
+func (t *Tier) sayGreys(tallies map[string]map[string]evacuate.Tally) {
+	k, z := t.copies, &t.copies.zones
+	if z.cfg == nil || !z.cfg.Rules.Grey {
+		return
+	}
+	now := t.clock.Now()
+	said := map[string]bool{}
+	for pool, zones := range tallies {
+		if z.grey[pool] == nil {
+			z.grey[pool] = evacuate.NewGrey(evacuate.UsualGrey())
+		}
+		for _, zone := range z.grey[pool].Turn(now, zones) {
+			if key := replica.ServerKey(zonal.GreyKind, pool, zone); key != "" && k.node.Put(key, nil) {
+				said[key] = true
+			}
+		}
+	}
+	for key := range z.said {
+		if !said[key] {
+			k.node.Delete(key)
+		}
+	}
+	z.said = said
+	for pool := range z.grey {
+		if tallies[pool] == nil {
+			delete(z.grey, pool)
+		}
+	}
+}
+
 // looksOf are the zones of a pool at which this process is to look, and servers of each. The caller has mu.
 func (k *copies) looksOf(t *Tier, pool string, turn int) map[string][]string {
 	var rules *evacuate.Rules
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -19,6 +19,8 @@
 	Lease = "zones"
 	// LookKind is that of entries which tell whether a member gets answers from a zone that is not wholly in use: "look/POOL/ZONE".
 	LookKind = "look"
+	// GreyKind is that of entries which tell that a zone fails in part to a member: "grey/POOL/ZONE".
+	GreyKind = "grey"
 	// Lookers is how many members look at a zone, at most, all together.
 	Lookers = 5
 
@@ -86,6 +88,12 @@
 		}
 		return true
 	})
+	n.Copies().All(GreyKind+"/"+pool+"/", func(e *replica.Entry) bool {
+		if _, zone, ok := replica.ServerOf(e.Key); ok && len(e.Values()) > 0 {
+			s.Greys = append(s.Greys, evacuate.GreyWord{Member: e.Owner, Zone: zone})
+		}
+		return true
+	})
 	s.Decided, s.Epochs = Decided(n, pool)
 	return s
 }
