A zone that was left holds back only servers that have not started again since

Now what the list names with another start, or for the first time, since the zone was left by itself is used at once; what an operator left is not. Told apart by the list's own words, no clock compared.

--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -27,6 +27,7 @@
 	list     map[policy.ServerID]policy.Server // as it was told
 	avoids   map[string]bool
 	returned map[policy.ServerID]policy.Time
+	leftBorn map[policy.ServerID]policy.Time // of those it avoids, as the list had their start then
 }
 
 // try is a request as an instance has it.
@@ -73,6 +74,7 @@
 	in.b, in.tries, in.known, in.idle, in.watcher = b, map[policy.RequestID]*try{}, map[policy.ServerID]*server{}, map[*server]int{}, nil
 	in.said = map[policy.ServerID]policy.Time{}
 	in.list, in.avoids, in.returned = map[policy.ServerID]policy.Server{}, nil, map[policy.ServerID]policy.Time{}
+	in.leftBorn = map[policy.ServerID]policy.Time{}
 	return err
 }
 
--- a/internal/emulator/zones.go
+++ b/internal/emulator/zones.go
@@ -141,6 +141,10 @@
 		return
 	}
 	before := in.avoids
+	used := map[policy.ServerID]bool{} // also of those that are avoided: they have started again
+	for id, e := range in.list {
+		used[id] = in.overlaid(e).State == policy.Ready
+	}
 	in.avoids = in.w.fleet.avoided(in.list)
 	var changed []policy.Server
 	for id, e := range in.list {
@@ -149,8 +153,12 @@
 			continue
 		}
 		if was {
-			in.returned[id] = in.w.now
+			if !used[id] {
+				in.returned[id] = in.w.now
+			}
+			delete(in.leftBorn, id)
 		} else {
+			in.leftBorn[id] = e.Started
 			delete(in.returned, id)
 			delete(in.w.fleet.words[in.ordinal], id)
 		}
@@ -174,7 +182,7 @@
 	if in.w.fleet == nil {
 		return e
 	}
-	if e.State == policy.Ready && in.avoids[string(e.ID)] {
+	if born, is := in.leftBorn[e.ID]; e.State == policy.Ready && in.avoids[string(e.ID)] && (!is || born == e.Started) {
 		e.State = policy.Draining
 	}
 	if at, is := in.returned[e.ID]; is && e.Started < at {
@@ -195,10 +203,20 @@
 		if e.State == policy.Gone {
 			delete(in.list, e.ID)
 		} else {
+			if _, had := in.list[e.ID]; !had && kind == policy.ListDelta {
+				if d, is := in.w.fleet.states[e.Zone]; is && d.Step < evacuate.Steps { // it has started since the zone was left
+					in.leftBorn[e.ID] = -1
+				}
+			}
 			in.list[e.ID] = e
 		}
 	}
 	in.avoids = in.w.fleet.avoided(in.list)
+	for id := range in.leftBorn {
+		if _, there := in.list[id]; there && !in.avoids[string(id)] {
+			delete(in.leftBorn, id)
+		}
+	}
 	out := make([]policy.Server, len(entries))
 	for i, e := range entries {
 		out[i] = in.overlaid(e)
--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -210,14 +210,14 @@
 			as := fmt.Sprint(zone, (int(server[1]-'0')+p.i)%perZone)
 			list[as], turned[as] = zone, server
 		}
-		all, _ := zonal.Orders(p.rep.node, zonePool, list)
+		all, _, _ := zonal.Orders(p.rep.node, zonePool, list)
 		own := map[string]bool{}
 		for as := range all {
 			own[turned[as]] = true
 		}
 		return own
 	}
-	all, _ := zonal.Orders(p.rep.node, zonePool, p.w.field.list)
+	all, _, _ := zonal.Orders(p.rep.node, zonePool, p.w.field.list)
 	return all
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -341,7 +341,7 @@
 		return nil, err
 	}
 	if servers := g.avoided[p.Name]; len(servers) > 0 {
-		m.pool.Avoid(servers, nil)
+		m.pool.Avoid(servers, nil, nil)
 	}
 	return m, nil
 }
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -20,7 +20,7 @@
 // Avoid has a pool send nothing new to the servers named, by order, until another call names others; also an instance of the pool that
 // takes the place of this one. Those of returning, of which the fleet has just begun to use, count as cold; see pool.Pool.Avoid. It returns false
 // where no ready server would be left: then it is not done.
-func (g *Gateway) Avoid(pool string, servers, returning map[string]bool) bool {
+func (g *Gateway) Avoid(pool string, servers, returning, soft map[string]bool) bool {
 	g.applying.Lock()
 	defer g.applying.Unlock()
 	if g.avoided == nil {
@@ -28,7 +28,7 @@
 	}
 	g.avoided[pool] = servers
 	if m := g.table.Load().pools[pool]; m != nil {
-		return m.pool.Avoid(servers, returning)
+		return m.pool.Avoid(servers, returning, soft)
 	}
 	return true
 }
--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -78,11 +78,15 @@
 	p.event(func(now policy.Time) { p.balancer.Hint(now, policy.ServerID(server)) })
 }
 
+// anotherStart is no start that a list names.
+const anotherStart = -1
+
 // Avoid has the servers named take nothing new, though the list names them ready, as if it said that they drain, until another call leaves
 // them out. It does so with none of them, and returns false, where no ready server would be left. One that was avoided and is not any more, and
 // those of returning, which the fleet has just begun to use again, count as started then, since nobody has sent them anything for a while: no list
-// need say so, and all processes together would else push them over.
-func (p *Pool) Avoid(servers, returning map[string]bool) (done bool) {
+// need say so, and all processes together would else push them over. Those of soft are used again once the list names another start of theirs: it has
+// seen them since, and what is known to be cold is paced by the module.
+func (p *Pool) Avoid(servers, returning, soft map[string]bool) (done bool) {
 	p.event(func(now policy.Time) {
 		left := 0
 		for id, e := range p.entries {
@@ -91,14 +95,45 @@
 			}
 		}
 		if done = left > 0 || len(p.entries) == 0; !done {
-			servers, returning = nil, nil
+			servers, returning, soft = nil, nil, nil
 		}
 		before := p.avoided
-		p.avoided = servers
+		used := map[policy.ServerID]bool{} // also of those that are avoided: they have started again
+		for id, e := range p.entries {
+			used[id] = p.listed(e).State == policy.Ready
+		}
+		p.avoided, p.soft = servers, soft
+		for id := range p.leftBorn {
+			if !servers[id] {
+				delete(p.leftBorn, id)
+			}
+		}
+		leftZones := map[string]bool{} // zones of which some were avoided already
+		for id := range before {
+			if e, there := p.entries[policy.ServerID(id)]; there {
+				leftZones[e.Site] = true
+			}
+		}
+		for id := range servers {
+			if _, had := p.leftBorn[id]; had {
+				continue
+			}
+			if p.leftBorn == nil {
+				p.leftBorn = map[string]int64{}
+			}
+			e, there := p.entries[policy.ServerID(id)]
+			if p.leftBorn[id] = e.BornMs; there && e.BornMs != 0 && leftZones[e.Site] && !p.met[policy.ServerID(id)] {
+				p.leftBorn[id] = anotherStart // the list has named it since its zone was left
+			}
+		}
+		p.met = map[policy.ServerID]bool{}
+		for id := range p.entries {
+			p.met[id] = true
+		}
 		var changed []policy.Server
 		for id, e := range p.entries {
 			_, had := p.returned[string(id)]
-			back := !servers[string(id)] && (before[string(id)] || returning[string(id)] && !had)
+			back := !servers[string(id)] && (!used[id] && before[string(id)] || returning[string(id)] && !had && !before[string(id)])
 			switch {
 			case back && p.settings.Config.Ramp > 0:
 				if p.returned == nil {
@@ -124,7 +159,7 @@
 	s := policy.Server{
 		ID: policy.ServerID(e.Host), State: source.States[e.Health], Zone: e.Site, Cell: e.Block, Weight: e.Share, Kind: e.Class, Started: p.started(e.BornMs),
 	}
-	if s.State == policy.Ready && p.avoided[e.Host] {
+	if s.State == policy.Ready && p.avoided[e.Host] && !(p.soft[e.Host] && e.BornMs != p.leftBorn[e.Host]) {
 		s.State = policy.Draining
 	}
 	if at, is := p.returned[e.Host]; is && (s.Started == 0 || s.Started < at) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -127,6 +127,9 @@
 	said      map[policy.ServerID]bool // that silent was told of
 	outcomes  map[string]*outcomes     // by zone, where silent asks; nil: nobody does
 	avoided   map[string]bool          // servers that take nothing new, by order
+	soft      map[string]bool          // of those the ones that are used again once the list names another start
+	met       map[policy.ServerID]bool // servers that the list had as orders were given last
+	leftBorn  map[string]int64         // of those that are avoided: their start as the list had it then, in Unix milliseconds
 	returned  map[string]policy.Time   // servers that were avoided, and since when they are not
 }
 
--- a/internal/pool/returned_test.go
+++ b/internal/pool/returned_test.go
@@ -38,10 +38,10 @@
 		}
 		return all
 	}
-	if !p.Avoid(only("b"), nil) || told("b").State != policy.Draining || told("b").Started != 0 {
+	if !p.Avoid(only("b"), nil, nil) || told("b").State != policy.Draining || told("b").Started != 0 {
 		t.Fatalf("%+v", told("b"))
 	}
-	if !p.Avoid(nil, nil) || told("b").State != policy.Ready || told("b").Started == 0 || told("a").Started != 0 {
+	if !p.Avoid(nil, nil, nil) || told("b").State != policy.Ready || told("b").Started == 0 || told("a").Started != 0 {
 		t.Fatalf("%+v, %+v", told("a"), told("b"))
 	}
 	since := told("b").Started
@@ -56,21 +56,27 @@
 		t.Error("it is taken for another process")
 	}
 	p.mu.Unlock()
-	if p.Avoid(only("b"), only("c")); told("c").Started == 0 || told("a").Started != 0 {
+	if p.Avoid(only("b"), only("c"), nil); told("c").Started == 0 || told("a").Started != 0 {
 		t.Errorf("of a zone that is returned to: %+v", told("c"))
 	}
 	first := told("c").Started
-	if p.Avoid(nil, only("b", "c")); told("c").Started != first || told("b").Started < since {
+	if p.Avoid(nil, only("b", "c"), nil); told("c").Started != first || told("b").Started < since {
 		t.Errorf("%+v, %+v", told("b"), told("c"))
 	}
-	if p.Avoid(only("a", "b", "c"), nil); told("c").State != policy.Ready {
+	if p.Avoid(only("a", "b", "c"), nil, nil); told("c").State != policy.Ready {
 		t.Error("no server is left")
 	}
+	// One that the fleet has left by itself is used as soon as the list names another start of it; one that an operator avoids is not.
+	p.Avoid(only("b", "c"), nil, only("b"))
 	l := listed(3, true, "a", "b", "c")
+	l.Hosts[2].BornMs = 77
 	l.Hosts[1].BornMs = time.Now().Add(time.Second).UnixMilli()
 	src.calls <- l
 	<-src.took
-	if got := told("b").Started; got <= since {
-		t.Errorf("the list names a later start, and it counts from %v", got)
+	if got := told("b"); got.Started <= since || got.State != policy.Ready {
+		t.Errorf("the list names a later start, and it is told as %+v", got)
+	}
+	if got := told("c"); got.State != policy.Draining {
+		t.Errorf("avoided by an operator, and told as %+v", got)
 	}
 }
--- a/internal/tier/copies.go
+++ b/internal/tier/copies.go
@@ -30,7 +30,7 @@
 type Pools interface {
 	OnSilent(f func(pool, server string, is bool))
 	Hint(pool, server string)
-	Avoid(pool string, servers, returning map[string]bool) (done bool)
+	Avoid(pool string, servers, returning, soft map[string]bool) (done bool)
 	PoolNames() []string
 	Servers(pool string) (zones map[string]string) // by the server's name
 	Look(pool, server string) (answers bool)
@@ -283,11 +283,12 @@
 	}
 }
 
-// orders are what a pool is to do: send nothing new to some servers, and take others, which the fleet has begun to use again, for cold.
-type orders struct{ avoid, returning map[string]bool }
+// orders are what a pool is to do: send nothing new to some servers, but for those of soft that have started again, and take others, which the fleet
+// has begun to use again, for cold.
+type orders struct{ avoid, returning, soft map[string]bool }
 
 func (o orders) equal(p orders) bool {
-	return maps.Equal(o.avoid, p.avoid) && maps.Equal(o.returning, p.returning)
+	return maps.Equal(o.avoid, p.avoid) && maps.Equal(o.returning, p.returning) && maps.Equal(o.soft, p.soft)
 }
 
 // ordersByPool are the orders that have changed, by pool; a pool that had some and has none is there with none.
@@ -295,7 +296,7 @@
 	next := map[string]orders{}
 	at := func(pool string) orders {
 		if next[pool].avoid == nil {
-			next[pool] = orders{map[string]bool{}, map[string]bool{}}
+			next[pool] = orders{map[string]bool{}, map[string]bool{}, map[string]bool{}}
 		}
 		return next[pool]
 	}
@@ -325,7 +326,7 @@
 func (t *Tier) carryOut(due map[string]orders) {
 	k := t.copies
 	for _, pool := range slices.Sorted(maps.Keys(due)) {
-		done := k.pools.Avoid(pool, due[pool].avoid, due[pool].returning)
+		done := k.pools.Avoid(pool, due[pool].avoid, due[pool].returning, due[pool].soft)
 		t.mu.Lock()
 		for server := range due[pool].avoid {
 			k.evidence.Saw(t.clock.Now(), k.node, replica.ServerKey(replica.DeadKind, pool, server), false)
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -42,7 +42,7 @@
 	f.hints[pool+"/"+server]++
 }
 
-func (f *farmPools) Avoid(_ string, servers, _ map[string]bool) bool {
+func (f *farmPools) Avoid(_ string, servers, _, _ map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.avoid = maps.Clone(servers)
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -240,7 +240,10 @@
 // addZones adds to a pool's orders those about zones that are not wholly in use.
 func (k *copies) addZones(at func(pool string) orders) {
 	for pool, list := range k.zones.lists {
-		avoid, returning := zonal.Orders(k.node, pool, list)
+		avoid, returning, soft := zonal.Orders(k.node, pool, list)
+		for server := range soft {
+			at(pool).soft[server] = !at(pool).avoid[server] // an operator's word on the server itself is harder
+		}
 		if len(avoid)+len(returning) > 0 {
 			maps.Copy(at(pool).avoid, avoid)
 			maps.Copy(at(pool).returning, returning)
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -107,20 +107,23 @@
 	return all
 }
 
-// Orders are the servers of a pool that are not in use by what is decided of their zones, and those in use of a zone that is being returned to.
-func Orders(n *replica.Node, pool string, list map[string]string) (avoid, returning map[string]bool) {
+// Orders are the servers of a pool that are not in use by what is decided of their zones; of those the ones of zones that were left by themselves and not
+// by an operator; and those in use of a zone that is being returned to.
+func Orders(n *replica.Node, pool string, list map[string]string) (avoid, returning, soft map[string]bool) {
 	states, _ := Decided(n, pool)
 	if len(states) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	all := servers(list)
-	avoid, returning = evacuate.Avoided(all, states), map[string]bool{}
+	avoid, returning, soft = evacuate.Avoided(all, states), map[string]bool{}, map[string]bool{}
 	for _, x := range all {
 		if s, is := states[x.Zone]; is && s.Step < evacuate.Steps && !avoid[x.Name] {
 			returning[x.Name] = true
+		} else if avoid[x.Name] && !s.Pinned {
+			soft[x.Name] = true
 		}
 	}
-	return avoid, returning
+	return avoid, returning, soft
 }
 
 // looksAt reports whether a member is one of those that look at a zone: a few of those that are there to it and not in the zone, not all.
