--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -278,7 +278,7 @@
 	case WallStep:
 		now += time.Duration(p.w.now/(700*time.Millisecond)) * 400 * time.Millisecond // set forth now and then
 	case Blind:
-		scene.Looks = nil
+		scene.Looks = slices.DeleteFunc(scene.Looks, func(l evacuate.Look) bool { s, is := scene.Decided[l.Zone]; return is && s.Step < evacuate.Steps })
 		for _, member := range slices.Sorted(maps.Keys(scene.Zones)) {
 			for zone := range zones {
 				if s, is := scene.Decided[zoneName(zone)]; is && s.Step < evacuate.Steps {
