--- a/internal/opfile/tier_test.go
+++ b/internal/opfile/tier_test.go
@@ -87,6 +87,7 @@
 		"zones alone":        {"[[tasks]]", "[tier.zones]\n[[tasks]]", "tier.zones: needs [tier.copies]"},
 		"members' zones":     {"[[tasks]]", "[tier.copies]\n[tier.zones]\n[[tasks]]", "the zones of a, b, c are not told"},
 		"odd judge":          {"[[tasks]]", "[tier.copies]\n[tier.zones]\nothers = 0.9\n[[tasks]]", "which is not below the 0.6"},
+		"odd grey":           {"[[tasks]]", "[tier.copies]\n[tier.zones]\ngrey = \"some\"\n[[tasks]]", "tier.zones.grey"},
 		"not automatic":      {"[[tasks]]", "[tier.copies]\n[tier.zones]\nautomatic = \"perhaps\"\n[[tasks]]", "tier.zones.automatic"},
 		"tasks alone":        {tierFile[strings.Index(tierFile, "[tier]"):strings.Index(tierFile, "[[tasks]]")], "", "tasks: are done once for a fleet"},
 	} {
--- /dev/null
+++ b/internal/zonal/zonal_test.go
@@ -0,0 +1,163 @@
+package zonal
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sorrelrudder/internal/council"
+	"sorrelrudder/internal/evacuate"
+	_ "sorrelrudder/internal/fixedseed"
+	"sorrelrudder/internal/replica"
+)
+
+// nodeOf is a process of a fleet to which the members named are there.
+func nodeOf(name string, members map[string]string, there func(string) bool) *replica.Node {
+	cfg := replica.Usual()
+	cfg.Name, cfg.Kinds, cfg.Decided = name, []string{replica.DeadKind, LookKind, GreyKind}, council.DecidedKinds
+	for m := range members {
+		cfg.Members = append(cfg.Members, m)
+	}
+	n := replica.New(0, cfg)
+	for m := range members {
+		if m != name && there(m) {
+			n.Take(time.Millisecond, m, &replica.Message{Kind: replica.Gossip, Members: []replica.MemberState{{Name: m, Inc: 1 << 16}}})
+		}
+	}
+	return n
+}
+
+// TestLookers: whatever the fleet's size, at most five members look at a zone that was left, none of them in it where others are there, and at least
+// one does; each looks at servers of that zone, of three at once others each turn.
+func TestLookers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := map[string]string{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "members") {
+			members[fmt.Sprint("p", i)] = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+		}
+		list := map[string]string{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+			list[fmt.Sprint("s", i)] = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server's zone")
+		}
+		list["b"] = "b"
+		turn := rapid.IntRange(0, 100).Draw(t, "turn")
+		looks, outside := 0, false
+		for name, zone := range members {
+			outside = outside || zone != "b"
+			n := nodeOf(name, members, func(string) bool { return true })
+			n.Decide("zone/farm/b", 1, []byte(evacuate.State{}.Encode()))
+			at := Looks(n, nil, members, name, "farm", list, turn)
+			if len(at) > 1 || len(at) == 1 && at["b"] == nil {
+				t.Fatalf("%s looks at %v", name, at)
+			}
+			if at["b"] == nil {
+				continue
+			}
+			looks++
+			if len(at["b"]) > LooksEach {
+				t.Fatalf("%s looks at %v", name, at)
+			}
+			for i, server := range at["b"] {
+				if list[server] != "b" || i > 0 && server == at["b"][i-1] {
+					t.Fatalf("%s looks at %v", name, at)
+				}
+			}
+		}
+		if looks == 0 || looks > Lookers {
+			t.Fatalf("%d members look", looks)
+		}
+		for name, zone := range members {
+			n := nodeOf(name, members, func(string) bool { return true })
+			n.Decide("zone/farm/b", 1, []byte(evacuate.State{}.Encode()))
+			if zone == "b" && outside && len(Looks(n, nil, members, name, "farm", list, turn)) > 0 {
+				t.Fatalf("%s is in the zone, and looks at it", name)
+			}
+		}
+	})
+}
+
+// TestOrders: by one decision all leave out the same servers; those of a zone that an operator left are never soft; what is in use of a zone that is
+// returned to, and nothing else, counts as being returned to.
+func TestOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := map[string]string{"p": "a", "q": "b", "r": "c"}
+		list := map[string]string{}
+		for i := range rapid.IntRange(0, 20).Draw(t, "servers") {
+			list[fmt.Sprint("s", i)] = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server's zone")
+		}
+		states := map[string]evacuate.State{}
+		for _, zone := range []string{"a", "b"} {
+			if rapid.Bool().Draw(t, "decided") {
+				states[zone] = evacuate.State{Step: rapid.IntRange(0, evacuate.Steps).Draw(t, "step"), Pinned: rapid.Bool().Draw(t, "pinned")}
+			}
+		}
+		var first string
+		for name := range members {
+			n := nodeOf(name, members, func(string) bool { return false })
+			for zone, s := range states {
+				n.Decide(replica.ServerKey(council.ZoneKind, "farm", zone), 1, []byte(s.Encode()))
+			}
+			avoid, returning, soft := Orders(n, "farm", list)
+			if all := fmt.Sprint(avoid, returning, soft); first == "" {
+				first = all
+			} else if all != first {
+				t.Fatalf("%s leaves out %s, and others %s", name, all, first)
+			}
+			for server, zone := range list {
+				s, is := states[zone]
+				part := is && s.Step < evacuate.Steps
+				switch {
+				case avoid[server] && !part, returning[server] && (!part || avoid[server]), part && !avoid[server] && !returning[server]:
+					t.Fatalf("%s of %s at %+v: left out %v, returned to %v", server, zone, s, avoid[server], returning[server])
+				case soft[server] != (avoid[server] && !s.Pinned):
+					t.Fatalf("%s of %s at %+v: soft %v", server, zone, s, soft[server])
+				}
+			}
+		}
+	})
+}
+
+// TestCommand: what the holder asks builds on all that it knows of the pool's zones, and on nothing of other pools.
+func TestCommand(t *testing.T) {
+	members := map[string]string{"p": "a"}
+	n := nodeOf("p", members, func(string) bool { return false })
+	n.Decide("zone/farm/a", 3, []byte(evacuate.State{Step: 4}.Encode()))
+	n.Decide("zone/farm/b", 7, []byte(evacuate.State{Step: 4}.Encode()))
+	n.Decide("zone/other/b", 9, []byte(evacuate.State{Step: 4}.Encode()))
+	if c := Command(n, "farm", evacuate.Change{Zone: "a"}, 5); c.Key != "zone/farm/a" || c.After != 3 || c.Seen != 7 || c.Token != 5 || c.Built {
+		t.Errorf("%+v", c)
+	}
+	if c := Command(n, "farm", evacuate.Change{Zone: "c"}, 5); c.After != 0 || c.Seen != 7 {
+		t.Errorf("of a zone that nothing was decided of: %+v", c)
+	}
+}
+
+// TestScene: what is read out of the copies: words and looks of members, also those of two contents to the careful side.
+func TestScene(t *testing.T) {
+	members := map[string]string{"p": "a", "q": "b", "r": "c"}
+	n := nodeOf("p", members, func(m string) bool { return m == "q" })
+	n.Put(replica.ServerKey(replica.DeadKind, "farm", "s1"), nil)
+	n.Put(replica.ServerKey(LookKind, "farm", "b"), LookValue(0, 3))
+	n.Put(replica.ServerKey(GreyKind, "farm", "c"), nil)
+	n.Put(replica.ServerKey(replica.DeadKind, "farmyard", "s1"), nil)
+	s := Scene(n, members, "farm", map[string]string{"s1": "b"})
+	if len(s.Zones) != 2 || s.Zones["p"] != "a" || s.Zones["q"] != "b" || s.Members != 3 {
+		t.Errorf("%+v: only those that are there, this process among them", s.Zones)
+	}
+	if len(s.Words) != 1 || s.Words[0] != (evacuate.Word{Member: "p", Server: "s1"}) || len(s.Greys) != 1 || len(s.Servers) != 1 {
+		t.Errorf("%+v", s)
+	}
+	if len(s.Looks) != 1 || !s.Looks[0].Silent || s.Looks[0].Answers {
+		t.Errorf("%+v", s.Looks)
+	}
+	for _, c := range []struct {
+		answered, of int
+		want         string
+	}{{0, 3, silent}, {1, 3, partly}, {3, 3, answers}} {
+		if got := string(LookValue(c.answered, c.of)); got != c.want {
+			t.Errorf("%d of %d: %q", c.answered, c.of, got)
+		}
+	}
+}
