Copies that differ for long no longer look at each other 250 times a second

One a round at most now, with jitter: in step with the rounds TestCutOffAtEveryPiece, whose link passes one message of five, never got an answer through.

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -114,6 +114,7 @@
 	syncSeq   uint64
 	syncTo    string
 	syncEnd   time.Duration
+	lookedAt  time.Duration // when the newest look was begun
 	syncFirst bool          // no answer has come yet
 	behind    bool          // the newest look has found a difference, or none has been answered since the start
 	step      time.Duration // when the copies were last seen to equal another's
@@ -399,7 +400,8 @@
 	if n.syncTo != "" && now >= n.syncEnd {
 		n.syncTo = ""
 		if n.behind { // what has come counts; the rest is asked of another at once
-			n.nextSync = now
+			// But no more than once a round: copies may differ for as long as one has not heard what the other has.
+			n.nextSync = max(now, n.lookedAt+n.cfg.Gossip+n.jitter(n.cfg.Gossip/2))
 		}
 	}
 	if now >= n.nextSync {
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -549,3 +549,25 @@
 		return w.same() && ok && e.Seq == 1 && !w.holds("f", Council, "order/y")
 	})
 }
+
+// TestLastingDifference: copies that differ for as long as one has not heard which council counts must not keep both busy: a look is begun at most once
+// a round of gossip.
+func TestLastingDifference(t *testing.T) {
+	w := newNetwork(t, 2)
+	w.up["a"].Copies().Council(FleetTag("present"))
+	w.up["b"].Copies().Council(FleetTag("former"))
+	w.up["a"].Decide("order/x", 1, []byte("avoid"))
+	w.up["b"].Decide("order/y", 2, []byte("avoid"))
+	w.run(time.Second)
+	before := map[string]int{}
+	for name, n := range w.up {
+		before[name] = n.Figures.Syncs
+	}
+	const over = 20 * time.Second
+	w.run(over)
+	for name, n := range w.up {
+		if looks := n.Figures.Syncs - before[name]; looks > int(over/n.cfg.Gossip)+1 || looks < 2 {
+			t.Errorf("%s has looked %d times within %v, a round of gossip being %v", name, looks, over, n.cfg.Gossip)
+		}
+	}
+}
--- a/internal/replica/sync.go
+++ b/internal/replica/sync.go
@@ -61,7 +61,7 @@
 		}
 	}
 	n.lastSeq++
-	n.syncSeq, n.syncTo, n.syncEnd, n.syncFirst = n.lastSeq, best, now+syncTime*n.cfg.Gossip, true
+	n.syncSeq, n.syncTo, n.syncEnd, n.syncFirst, n.lookedAt = n.lastSeq, best, now+syncTime*n.cfg.Gossip, true, now
 	n.Figures.Syncs++
 	m := &Message{Kind: Sync, Seq: n.syncSeq, Members: []MemberState{n.me()}}
 	for _, kind := range append([]string{membersKind}, n.copies.kinds...) {
