--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -323,6 +323,23 @@
 	return sum
 }
 
+// startShared starts a fleet whose processes share state, or not, and waits until all take part.
+func (e *Env) startShared(ctx context.Context, shared bool, cfg fleetConfig) (f *fleet, name string, err error) {
+	name = "alone"
+	if shared {
+		cfg.copies, name = usualCopies, "shared"
+	}
+	if f, err = e.startFleet(ctx, cfg); err != nil {
+		return nil, "", err
+	}
+	for _, p := range f.procs {
+		if err := p.ready(ctx); err != nil {
+			return nil, "", err
+		}
+	}
+	return f, name, nil
+}
+
 func replicaDead(ctx context.Context, e *Env) error {
 	const processes, boxes, rate = 30, 10, 1 // quiet ones: where each meets a server seldom, it pays the most for what others know
 	type outcome struct {
@@ -332,23 +349,13 @@
 	results := map[bool]outcome{}
 	ledger := standin.NewLedger()
 	for _, shared := range []bool{false, true} {
-		cfg := fleetConfig{
+		f, name, err := e.startShared(ctx, shared, fleetConfig{
 			processes: processes, voters: 3, nboxes: boxes, ledger: ledger, dealt: true,
 			box: func(b *standin.BoxConfig) { b.Service = 15 * time.Millisecond },
-		}
-		name := "alone"
-		if shared {
-			cfg.copies, name = usualCopies, "shared"
-		}
-		f, err := e.startFleet(ctx, cfg)
+		})
 		if err != nil {
 			return err
 		}
-		for _, p := range f.procs {
-			if err := p.ready(ctx); err != nil {
-				return err
-			}
-		}
 		length := e.Duration / 2
 		e.Phase("a server dies silently, "+name, length)
 		load, cancel := context.WithTimeout(ctx, length+2*time.Second)
@@ -394,22 +401,12 @@
 	ledger := standin.NewLedger()
 	served := map[string]float64{}
 	for _, shared := range []bool{false, true} {
-		name := "alone"
-		cfg := fleetConfig{
+		f, name, err := e.startShared(ctx, shared, fleetConfig{
 			processes: 10, voters: 3, nboxes: 9, ledger: ledger, box: func(b *standin.BoxConfig) { b.Service = 15 * time.Millisecond },
-		}
-		if shared {
-			cfg.copies, name = usualCopies, "shared"
-		}
-		f, err := e.startFleet(ctx, cfg)
+		})
 		if err != nil {
 			return err
 		}
-		for _, p := range f.procs {
-			if err := p.ready(ctx); err != nil {
-				return err
-			}
-		}
 		e.Phase("killed and started again in the rush, "+name, e.Duration/2)
 		warm, cancel := context.WithTimeout(ctx, 2*time.Second)
 		f.crowds(warm, name+"warm", 20, ledger)
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -154,6 +154,35 @@
 	return n
 }
 
+// outage is a zone that is lost and comes back, and when.
+type outage struct {
+	lost, back time.Time
+	over       chan struct{} // closed once the load has ended
+}
+
+// loseZone has a zone's boxes vanish after a while, and come back cold after another, under a load that ends with ctx.
+func (f *fleet) loseZone(ctx context.Context, zone string, after, length time.Duration) *outage {
+	o := &outage{over: make(chan struct{})}
+	go func() {
+		defer close(o.over)
+		pause(ctx, after)
+		f.note("zone %s is lost", zone)
+		o.lost = time.Now()
+		for _, b := range f.inZone(zone) {
+			b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
+		}
+		pause(ctx, length)
+		f.note("zone %s is back, cold", zone)
+		o.back = time.Now()
+		for _, b := range f.inZone(zone) {
+			b.Chill()
+			b.SetFault(standin.Fault{})
+		}
+		<-ctx.Done()
+	}()
+	return o
+}
+
 func zoneLeave(ctx context.Context, e *Env) error {
 	type outcome struct {
 		lost   int64
@@ -173,28 +202,10 @@
 		length := e.Duration / 2
 		e.Phase("a zone is lost, and returns cold, "+name, length)
 		load, cancel := context.WithTimeout(ctx, length)
-		var lost, back time.Time
-		went := make(chan struct{})
-		go func() {
-			defer close(went)
-			pause(load, 2*time.Second)
-			f.note("zone b is lost")
-			lost = time.Now()
-			for _, b := range f.inZone("b") {
-				b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
-			}
-			pause(load, 5*time.Second)
-			f.note("zone b is back, cold")
-			back = time.Now()
-			for _, b := range f.inZone("b") {
-				b.Chill()
-				b.SetFault(standin.Fault{})
-			}
-			<-load.Done()
-		}()
+		gone := f.loseZone(load, "b", 2*time.Second, 5*time.Second)
 		crowd := f.crowds(load, name, 9, ledger)
 		cancel()
-		<-went
+		<-gone.over
 		sent := int64(0)
 		for _, b := range f.boxes {
 			sent += b.Lost()
@@ -202,19 +213,19 @@
 		results[together] = outcome{sent, crowd.Share()}
 		e.crowd(name+"_", crowd)
 		if together {
-			left := f.followed(3, lost)
+			left := f.followed(3, gone.lost)
 			if len(left) < len(f.procs) {
 				e.Broken("%d of %d processes have left the zone", len(left), len(f.procs))
 			}
 			if len(left) > 0 {
-				e.AtMost("left_s", left[len(left)-1].Sub(lost).Seconds(), 4)
+				e.AtMost("left_s", left[len(left)-1].Sub(gone.lost).Seconds(), 4)
 				e.AtMost("apart_s", left[len(left)-1].Sub(left[0]).Seconds(), 1)
 			}
-			if err := f.await(ctx, 20*time.Second, "all use the zone again", func() bool { return len(f.followed(0, back)) == len(f.procs) }); err != nil {
+			if err := f.await(ctx, 20*time.Second, "all use the zone again", func() bool { return len(f.followed(0, gone.back)) == len(f.procs) }); err != nil {
 				return err
 			}
-			all := f.followed(0, back)
-			e.Measure("returned_s", all[len(all)-1].Sub(back).Seconds())
+			all := f.followed(0, gone.back)
+			e.Measure("returned_s", all[len(all)-1].Sub(gone.back).Seconds())
 			decided := 0
 			for _, p := range f.procs {
 				decided += p.prog.Count("a zone is decided")
@@ -254,27 +265,10 @@
 		length := e.Duration / 2
 		e.Phase("a zone is lost, and its boxes fall when they get too much while cold, "+name, length)
 		load, cancel := context.WithTimeout(ctx, length)
-		var back time.Time
-		went := make(chan struct{})
-		go func() {
-			defer close(went)
-			pause(load, 2*time.Second)
-			f.note("zone b is lost")
-			for _, b := range f.inZone("b") {
-				b.SetFault(standin.Fault{Kind: standin.Dead, Share: 1})
-			}
-			pause(load, 4*time.Second)
-			f.note("zone b is back, cold")
-			back = time.Now()
-			for _, b := range f.inZone("b") {
-				b.Chill()
-				b.SetFault(standin.Fault{})
-			}
-			<-load.Done()
-		}()
+		gone := f.loseZone(load, "b", 2*time.Second, 4*time.Second)
 		crowd := f.crowds(load, name, 18, ledger)
 		cancel()
-		<-went
+		<-gone.over
 		falls, most, lost, used := int64(0), 0.0, int64(0), int64(0)
 		for _, b := range f.boxes {
 			n, hot := b.Falls()
@@ -292,11 +286,11 @@
 		e.crowd(name+"_", crowd)
 		if together {
 			e.AtMost("cold_overload", float64(falls), 0)
-			all := f.followed(0, back)
+			all := f.followed(0, gone.back)
 			if len(all) < len(f.procs) {
 				e.Broken("%d of %d processes use the zone again", len(all), len(f.procs))
 			} else {
-				e.Measure("returned_s", all[len(all)-1].Sub(back).Seconds())
+				e.Measure("returned_s", all[len(all)-1].Sub(gone.back).Seconds())
 			}
 		}
 		f.stop()
