Ask again for an operator whose order's answer is lost with the council's leader

An ask of a process is given up after a term and asked again by who wanted it (tier.keep), but an operator's was wanted by nobody there. Orders have no second effect since they build on what is in force, so that the process says that they have no answer and the command asks again; other requests of operators, of which nobody knows whether they were done, wait as before.

--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -475,3 +475,48 @@
 		return !farms[0].avoids("other") && !farms[1].avoids("other") && !farms[2].avoids("other")
 	})
 }
+
+// TestOrderWithoutAnswer: an operator's order whose answer is lost with the council's leader is asked again, and done once.
+func TestOrderWithoutAnswer(t *testing.T) {
+	cfgs := sharing(t, 3)
+	var all []*Tier
+	for _, cfg := range cfgs {
+		all = append(all, start(t, cfg, newFarm()))
+	}
+	defer func() {
+		for _, tr := range all {
+			tr.Close()
+		}
+	}()
+	key := replica.ServerKey(council.OrderKind, "farm", "box")
+	order(t, all[2], cfgs[2], council.OrderCommand{Key: key, Value: "first"})
+	// The other two end: what is asked of the third now has no answer until they are back.
+	all[0].Close()
+	all[1].Close()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	o, err := Connect(ctx, all[2].Addr(), cfgs[2].Secret)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	done := make(chan error, 1)
+	var got *council.OrderResult
+	go func() {
+		r, err := o.Order(ctx, council.OrderCommand{Key: key, Value: "second"})
+		got = r
+		done <- err
+	}()
+	eventually(t, "its session has lapsed: a term has passed", func() bool {
+		all[2].mu.Lock()
+		defer all[2].mu.Unlock()
+		return all[2].keeper.Until() < all[2].clock.Now()
+	})
+	all[0], all[1] = start(t, cfgs[0], newFarm()), start(t, cfgs[1], newFarm())
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if got.Number != 2 {
+		t.Errorf("%+v: it was done %d times", got, got.Number-1)
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -119,6 +119,7 @@
 	at   time.Duration
 	to   string // whom it went to last
 	late bool   // it was not answered in time
+	lost func() // called under mu once no answer is waited for any more; nil: it is asked again by itself
 }
 
 // seat is this process' part in the council. Only the council's goroutine has it.
@@ -384,6 +385,9 @@
 		}
 		if now > c.at+t.cfg.Rules.Term {
 			delete(t.asks, handle)
+			if c.lost != nil {
+				c.lost()
+			}
 		}
 	}
 	t.timer.Reset(max(time.Millisecond, min(t.clock.Real(at-now), t.cfg.Rules.Term)))
@@ -454,6 +458,9 @@
 // call asks the council, by whom this process takes for its leader. The caller has mu.
 func (t *Tier) call(c *call) {
 	if len(t.asks) >= mostAsks {
+		if c.lost != nil {
+			c.lost()
+		}
 		return // it is asked again
 	}
 	t.lastAsk++
@@ -745,7 +752,11 @@
 	case c.peer.Name == operatorName:
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.call(&call{q: a.Request, then: func(r council.Response) { t.done.Go(func() { answer(r, nil) }) }})
+		c := &call{q: a.Request, then: func(r council.Response) { t.done.Go(func() { answer(r, nil) }) }}
+		if o := a.Request.Order; o != nil && o.Built { // its answer may be lost with a leader: asking again has no second effect
+			c.lost = func() { c.then(council.Response{Elsewhere: true}) }
+		}
+		t.call(c)
 	case t.store == nil:
 		answer(council.Response{Elsewhere: true}, nil)
 	default:
