--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -470,6 +470,7 @@
 
 // epochs follows what processes have of what is decided of zones, and counts what goes back in one life of a process.
 type epochs struct {
+	one    sync.Mutex // one look is over before the next begins: else what one has seen earlier could be noted later
 	mu     sync.Mutex
 	newest map[string]uint64
 	back   int
@@ -477,6 +478,8 @@
 }
 
 func (x *epochs) look(f *fleet, procs []*fleetProc) map[int]copiesState {
+	x.one.Lock()
+	defer x.one.Unlock()
 	starts := map[int]int{}
 	for _, p := range procs {
 		p.mu.Lock()
