--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,7 +74,7 @@
 	listeners map[Listener]*listening
 	lastKey   share.Key
 	stopped   bool
-	avoided   map[string]map[string]bool // servers that take nothing new, by order, by pool
+	avoided   map[string]orders // servers that take nothing new, by order, by pool
 	silent    atomic.Pointer[func(pool, server string, is bool)]
 
 	// What the pools share. No method of a pool is called under shares: pools call back.
@@ -340,8 +340,8 @@
 		g.drop(m)
 		return nil, err
 	}
-	if servers := g.avoided[p.Name]; len(servers) > 0 {
-		m.pool.Avoid(servers, nil, nil)
+	if o := g.avoided[p.Name]; len(o.servers) > 0 {
+		m.pool.Avoid(o.servers, o.returning, o.soft)
 	}
 	return m, nil
 }
--- a/internal/gateway/hearsay.go
+++ b/internal/gateway/hearsay.go
@@ -17,6 +17,9 @@
 	}
 }
 
+// orders are what a pool was told to avoid last; see pool.Pool.Avoid.
+type orders struct{ servers, returning, soft map[string]bool }
+
 // Avoid has a pool send nothing new to the servers named, by order, until another call names others; also an instance of the pool that
 // takes the place of this one. Those of returning, of which the fleet has just begun to use, count as cold; see pool.Pool.Avoid. It returns false
 // where no ready server would be left: then it is not done.
@@ -24,9 +27,9 @@
 	g.applying.Lock()
 	defer g.applying.Unlock()
 	if g.avoided == nil {
-		g.avoided = map[string]map[string]bool{}
+		g.avoided = map[string]orders{}
 	}
-	g.avoided[pool] = servers
+	g.avoided[pool] = orders{servers, returning, soft}
 	if m := g.table.Load().pools[pool]; m != nil {
 		return m.pool.Avoid(servers, returning, soft)
 	}
