--- a/internal/emulator/zones.go
+++ b/internal/emulator/zones.go
@@ -1,7 +1,9 @@
 package emulator
 
 import (
+	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"sorrelrudder/internal/evacuate"
@@ -104,7 +106,7 @@
 	return s
 }
 
-func (in *instance) name() string { return string(rune('a'+in.ordinal%26)) + string(rune(in.ordinal)) }
+func (in *instance) name() string { return strconv.Itoa(in.ordinal) }
 
 // judge decides one change at most, and has all carry it out.
 func (f *decider) judge() {
@@ -164,19 +166,12 @@
 		}
 		changed = append(changed, in.overlaid(e))
 	}
-	slices.SortFunc(changed, func(a, b policy.Server) int { return int(int64(hashOf(a.ID)) - int64(hashOf(b.ID))) })
+	slices.SortFunc(changed, func(a, b policy.Server) int { return cmp.Compare(a.ID, b.ID) })
 	if len(changed) > 0 {
 		in.do(func(now policy.Time) { in.b.Members(now, policy.ListDelta, changed, in) })
 	}
 }
 
-func hashOf(id policy.ServerID) (h uint32) {
-	for i := range len(id) {
-		h = h*31 + uint32(id[i])
-	}
-	return h
-}
-
 // overlaid is what the module is told of an entry of the list.
 func (in *instance) overlaid(e policy.Server) policy.Server {
 	if in.w.fleet == nil {
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -292,45 +292,42 @@
 		}
 	}
 	for zone, members := range by {
-		said, could, from, zones := 0, 0, map[string]bool{}, map[string]bool{}
-		for member, of := range s.Zones {
-			if of == zone && len(zonesOf(s.Zones)) > 1 {
-				continue
-			}
-			could++
+		said, from, zones := 0, map[string]bool{}, map[string]bool{}
+		could := s.witnesses(zone)
+		for member, of := range could {
 			zones[of] = true
 			if members[member] {
 				said++
 				from[of] = true
 			}
 		}
-		all[zone] = said >= min(2, could) && 4*said >= could && len(from) >= min(2, len(zones))
-		if !all[zone] {
-			delete(all, zone)
+		if said >= min(2, len(could)) && 4*said >= len(could) && len(from) >= min(2, len(zones)) {
+			all[zone] = true
 		}
 	}
 	return all
 }
 
+// witnesses are the members that are there whose own finding on a zone counts, and where they are: those in the zone do not, if there are others.
+func (s Scene) witnesses(zone string) map[string]string {
+	outside := maps.Clone(s.Zones)
+	maps.DeleteFunc(outside, func(_, of string) bool { return of == zone })
+	if len(outside) == 0 {
+		return s.Zones
+	}
+	return outside
+}
+
 // Suspected reports whether a zone that is wholly in use is to be looked at: words alone would have it left.
 func (c Cause) Suspected() bool { return c == Unlooked || c == Partly || c == Down }
 
 // looked says what comes of words once it was looked whether they are so: a word is of one request that was not answered, and where one in eight is
 // lost enough members have such a word of each server. Those in the zone itself do not count, if there are others.
 func (r Rules) looked(s Scene, zone string) Cause {
-	eligible, outside := 0, false
-	for _, of := range s.Zones {
-		outside = outside || of != zone
-	}
-	for _, of := range s.Zones {
-		if of != zone || !outside {
-			eligible++
-		}
-	}
+	eligible := s.witnesses(zone)
 	silent, some := 0, 0
 	for _, l := range s.Looks {
-		of, there := s.Zones[l.Member]
-		if !there || l.Zone != zone || outside && of == zone {
+		if _, counts := eligible[l.Member]; !counts || l.Zone != zone {
 			continue
 		}
 		if l.Silent {
@@ -342,7 +339,7 @@
 	switch {
 	case some > 0 && float64(silent) < r.Down*float64(silent+some):
 		return Partly
-	case silent < min(r.Looks, eligible):
+	case silent < min(r.Looks, len(eligible)):
 		return Unlooked
 	}
 	return Down
--- a/internal/lab/replica.go
+++ b/internal/lab/replica.go
@@ -323,6 +323,13 @@
 	return sum
 }
 
+// once holds the four rules, and that each request had one answer and none a second effect.
+func (e *Env) once(ledger *standin.Ledger, prefix string) {
+	v := e.Rules(ledger)
+	e.AtLeast(prefix+"answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
+	e.AtMost(prefix+"duplicates", float64(v.Doubled), 0)
+}
+
 // startShared starts a fleet whose processes share state, or not, and waits until all take part.
 func (e *Env) startShared(ctx context.Context, shared bool, cfg fleetConfig) (f *fleet, name string, err error) {
 	name = "alone"
@@ -384,9 +391,7 @@
 		}
 		f.stop()
 	}
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	e.Measure("dead_sends_alone", float64(results[false].lost))
 	e.Measure("dead_sends", float64(results[true].lost))
 	e.AtMost("dead_sends_share", float64(results[true].lost)/float64(max(1, results[false].lost)), 0.7) // of some ten sends: a quarter over many seeds
@@ -473,9 +478,7 @@
 	}
 	e.Measure("behind_alone", served["alone"])
 	e.AtMost("behind", served["shared"], 0.03) // of some 600 requests: 0.01 over many seeds
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
@@ -548,9 +551,7 @@
 	h.judge()
 	e.crowd("", c)
 	e.Measure("served", c.Share())
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	f.stop()
 	return nil
 }
@@ -773,9 +774,7 @@
 			e.Broken("nobody was lied to: nothing was shown")
 		}
 	}
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	e.AtMost("lost_to_one_liar", served[0]-served[1], 0.02)
 	e.AtMost("lost_to_two_liars", served[0]-served[2], 0.1)
 	return nil
--- a/internal/lab/zone.go
+++ b/internal/lab/zone.go
@@ -233,9 +233,7 @@
 			e.Measure("epochs", float64(decided))
 		}
 		f.stop()
-		v := e.Rules(ledger)
-		e.AtLeast(name+"_answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-		e.AtMost(name+"_duplicates", float64(v.Doubled), 0)
+		e.once(ledger, name+"_")
 	}
 	e.Measure("dead_sends_alone", float64(results[false].lost))
 	e.Measure("dead_sends", float64(results[true].lost))
@@ -294,9 +292,7 @@
 			}
 		}
 		f.stop()
-		v := e.Rules(ledger)
-		e.AtLeast(name+"_answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-		e.AtMost(name+"_duplicates", float64(v.Doubled), 0)
+		e.once(ledger, name+"_")
 	}
 	e.Measure("served_alone", served[false])
 	e.AtLeast("served", served[true], served[false]-0.002)
@@ -347,9 +343,7 @@
 	e.crowd("", c)
 	e.Measure("served", c.Share())
 	f.stop()
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
@@ -416,9 +410,7 @@
 	c := <-crowd
 	e.crowd("", c)
 	f.stop()
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
@@ -462,9 +454,7 @@
 	e.crowd("", c)
 	e.Measure("served", c.Share())
 	f.stop()
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
@@ -671,9 +661,7 @@
 	e.crowd("", c)
 	e.Measure("served", c.Share())
 	f.stop()
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
@@ -752,9 +740,7 @@
 	}
 	e.Measure("most_gain", gain)
 	f.stop()
-	v := e.Rules(ledger)
-	e.AtLeast("answered_once", float64(v.Answered)/float64(max(1, v.Tries)), 1)
-	e.AtMost("duplicates", float64(v.Doubled), 0)
+	e.once(ledger, "")
 	return nil
 }
 
