A watch that has fallen silent is opened anew at once, within one reckoned budget

Cause: callTime of 6 s and quietTime of 4 s (source/discovery.go), then the module's pause for failed calls, AskEvery/8 << fails (policy Members): 1.25 to 3.75 s in a large group after the first failure, up to 15 s later. The settings' grace was used nowhere. Ruled out: the module sending to servers it knows to drain (no case without such a watch), and late lists on watches that stand.

Change: internal/staleness has the one budget (pure, property test: it adds up for each mode and grace). A watch that ends or a call that is given up is a ListLost, asked for anew at once within jitter; the growing pause is for calls turned away and ends at 1.5 s. A first list is asked for at once where no server is known. Pushed lists: the agent answers at no cost, and what it has counts at once, so that the grace is the term. Messages may stand on several lines, each byte moves the deadline, and one that has begun has to come whole. The log tells each reason once, with the address.

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -123,7 +123,8 @@
 	"internal/settings":  {"policy"},
 	"internal/wire":      {"policy", "internal/settings"},
 	"internal/proc":      {"internal/share"},
-	"internal/source":    {"policy"},
+	"internal/staleness": {},
+	"internal/source":    {"policy", "internal/staleness"},
 	"internal/upstream":  {"policy", "internal/message", "internal/proc"},
 	"internal/classify":  {},
 	"internal/h2":        {},
@@ -143,13 +144,13 @@
 	"internal/explore":   {"internal/council", "internal/evacuate", "internal/lease", "internal/replica", "internal/task", "internal/zonal"},
 	"internal/tier":      {"internal/council", "internal/evacuate", "internal/lease", "internal/message", "internal/replica", "internal/task", "internal/zonal"},
 	"internal/admin":     {"internal/figures"},
-	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/tally", "internal/upstream"},
+	"internal/pool":      {"policy", "internal/figures", "internal/message", "internal/settings", "internal/source", "internal/staleness", "internal/tally", "internal/upstream"},
 	"internal/keep":      {},
 	"internal/front":     {"internal/keep", "internal/message", "internal/proc"},
 	"internal/gateway": {
 		"internal/keep",
 		"policy", "internal/admin", "internal/figures", "internal/front", "internal/message", "internal/pool", "internal/proc", "internal/route", "internal/settings",
-		"internal/share", "internal/source", "internal/upstream",
+		"internal/share", "internal/source", "internal/staleness", "internal/upstream",
 	},
 	"internal/sidecar": {"internal/gateway", "internal/proc", "internal/settings", "internal/source"},
 	"internal/bridge": {
@@ -167,7 +168,7 @@
 }
 
 // pure modules read no clock, open nothing and start nothing.
-var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/tally", "internal/emulator", "internal/lease", "internal/task", "internal/council", "internal/replica", "internal/evacuate", "internal/zonal"}
+var pure = []string{"policy", "internal/classify", "internal/keep", "internal/route", "internal/share", "internal/spill", "internal/staleness", "internal/tally", "internal/emulator", "internal/lease", "internal/task", "internal/council", "internal/replica", "internal/evacuate", "internal/zonal"}
 
 // TestImports holds the rules of docs/ARCHITECTURE.md.
 func TestImports(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"sorrelrudder/internal/route"
 	"sorrelrudder/internal/share"
 	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/staleness"
 	"sorrelrudder/internal/upstream"
 	"sorrelrudder/policy"
 )
@@ -326,7 +327,7 @@
 		}
 	}
 	if p.Discovery != "" {
-		cfg.Source = source.Discovery(p.Discovery)
+		cfg.Source = p.discovery()
 	} else {
 		m.static = source.NewStatic(p.Servers)
 		cfg.Source, cfg.Known = m.static, m.static.List()
@@ -346,13 +347,19 @@
 	return m, nil
 }
 
+// discovery is where the list of p comes from.
+func (p *Pool) discovery() source.Source {
+	module := p.Settings.Config
+	return source.Discovery{Addr: p.Discovery, Bound: staleness.Of(module.Pushed, module.AskEvery, p.Settings.DrainGrace)}
+}
+
 // setSource takes over where the list of a pool that stays comes from.
 func (m *member) setSource(p Pool) {
 	switch {
 	case p.Discovery != "":
 		if p.Discovery != m.cfg.Discovery {
 			m.static = nil
-			m.pool.SetSource(source.Discovery(p.Discovery))
+			m.pool.SetSource(p.discovery())
 		}
 	case m.static == nil:
 		m.static = source.NewStatic(p.Servers)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -18,6 +19,7 @@
 	"sorrelrudder/internal/message"
 	"sorrelrudder/internal/settings"
 	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/staleness"
 	"sorrelrudder/internal/tally"
 	"sorrelrudder/internal/upstream"
 	"sorrelrudder/policy"
@@ -113,6 +115,7 @@
 	source    source.Source
 	seq       int64              // of the last list message
 	told      bool               // the source has told a list, beyond what was known at the start
+	warned    string             // why the last watch ended, until a list comes
 	older     int                // messages in a row that were older than the list in force
 	stopWatch context.CancelFunc // nil while there is no watch
 	probing   int                // probes under way
@@ -160,7 +163,9 @@
 // New starts a pool whose connections are up. It ends with Close.
 func New(cfg Config, up *upstream.Conns, log *slog.Logger) (*Pool, error) {
 	module := cfg.Settings.Config
-	module.Pushed = false // on sockets the agent that has what was pushed must be asked too
+	// On sockets the agent that has what was pushed must be asked too.
+	bound := staleness.Of(module.Pushed, module.AskEvery, cfg.Settings.DrainGrace)
+	module.Pushed, module.AskEvery, module.AskPause, module.AskAgain = false, bound.AskEvery, bound.Pause, bound.Again
 	b, err := policy.New(module, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -189,14 +194,19 @@
 	p.alarm.Stop()
 	known := cfg.Known
 	if known == nil {
-		known = &source.List{Seq: new(int64)} // nothing is known: the source is to be asked all the same
+		known = &source.List{Seq: new(int64)}
 	}
 	p.work.Go(func() { up.Sweep(ctx) })
 	if cfg.FiguresEvery > 0 {
 		p.tells = true
 		p.work.Go(func() { p.tellFigures(cfg.FiguresEvery) })
 	}
-	p.event(func(now policy.Time) { p.members(now, policy.ListCached, known) })
+	p.event(func(now policy.Time) {
+		p.members(now, policy.ListCached, known)
+		if len(p.peers) == 0 { // nothing is known that requests could go to: they wait for the source
+			p.balancer.Members(now, policy.ListLost, nil, p)
+		}
+	})
 	return p, nil
 }
 
@@ -496,7 +506,9 @@
 // members hands a message about the server list to the module.
 func (p *Pool) members(now policy.Time, kind policy.ListKind, l *source.List) {
 	p.seq = *l.Seq
-	p.told = p.told || kind != policy.ListCached
+	if kind != policy.ListCached {
+		p.told, p.warned = true, ""
+	}
 	servers := make([]policy.Server, len(l.Hosts))
 	listed := make(map[policy.ServerID]bool, len(l.Hosts))
 	for i, e := range l.Hosts {
@@ -565,8 +577,12 @@
 	}
 }
 
-// Watch is a method of policy.Actions. A watch ends in one ListFailed, unless it is called off; when to ask
-// again is for the module to say.
+// steadyWatch is how long a watch must have stood for its end to be that of a watch, which is opened anew at once: one that ends
+// sooner, each time, would be a call after the other.
+const steadyWatch = time.Second
+
+// Watch is a method of policy.Actions. A watch ends in one ListFailed or ListLost, unless it is called off; when to ask again is
+// for the module to say.
 func (p *Pool) Watch(on bool) {
 	if p.stopWatch != nil {
 		p.stopWatch()
@@ -581,6 +597,7 @@
 	p.tally.Add(tally.Calls, 1)
 	p.spawn(func() {
 		var old error
+		var stood policy.Time // since when it has; zero: it has told nothing
 		watch, end := context.WithCancel(ctx)
 		defer end()
 		err := from.Watch(watch, since, func(l *source.List) {
@@ -596,6 +613,7 @@
 					end()
 					return
 				}
+				stood = cmp.Or(stood, now)
 				p.members(now, kind, l)
 			})
 		})
@@ -609,12 +627,24 @@
 			cancel()
 			p.stopWatch = nil
 			p.tally.Add(tally.CallsFailed, 1)
-			p.log.Warn("watch on discovery ended", "err", err)
-			p.balancer.Members(now, policy.ListFailed, nil, p)
+			p.warn(err)
+			kind := policy.ListFailed
+			if errors.Is(err, source.ErrSilent) || stood > 0 && now-stood >= steadyWatch {
+				kind = policy.ListLost
+			}
+			p.balancer.Members(now, kind, nil, p)
 		})
 	})
 }
 
+// warn tells the log why a watch has ended, once for each reason until a list comes.
+func (p *Pool) warn(err error) {
+	if why := err.Error(); why != p.warned {
+		p.warned = why
+		p.log.Warn("watch on discovery ended", "err", err)
+	}
+}
+
 // mostOutdated is how many calls in a row may tell a whole list that is older than the one in force before it is believed: then
 // the source has begun to count anew, as after a loss of all it knew.
 const mostOutdated = 3
@@ -642,7 +672,7 @@
 			p.stopWatch()
 			p.stopWatch = nil
 		}
-		p.balancer.Members(now, policy.ListMoved, nil, p)
+		p.balancer.Members(now, policy.ListLost, nil, p)
 	})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,8 +13,9 @@
 
 // Settings is what a host needs of the settings object.
 type Settings struct {
-	Config policy.Config
-	Fields []string // names of the values in a load report, in their order
+	Config     policy.Config
+	Fields     []string      // names of the values in a load report, in their order
+	DrainGrace time.Duration // how long sends to a server may go on that drains or is gone; 0: not told
 }
 
 // object mirrors the keys that the module uses; others are skipped.
@@ -35,8 +36,8 @@
 		Worth, LateShare            float64
 	}
 	Safety struct {
-		AskEveryUs, GraceToAnswerUs, RampTimeUs int64
-		ColdFrom                                float64
+		AskEveryUs, DrainGraceUs, GraceToAnswerUs, RampTimeUs int64
+		ColdFrom                                              float64
 	}
 	FamilyInfo struct{ WarmKeys bool }
 	Tariffs    struct {
@@ -90,7 +91,7 @@
 	for _, t := range s.Tenants {
 		cfg.Tenants = append(cfg.Tenants, policy.Tenant{Name: t.Name, AllowancePer: t.AllowancePerS})
 	}
-	return Settings{Config: cfg, Fields: s.Telemetry.Fields}, nil
+	return Settings{Config: cfg, Fields: s.Telemetry.Fields, DrainGrace: Micros(s.Safety.DrainGraceUs)}, nil
 }
 
 // validate guards against what the module would reject or misread, by the names that the operators use.
@@ -132,6 +133,7 @@
 		{"Limits.DialTimeoutUs", s.Limits.DialTimeoutUs},
 		{"Limits.MaxRetryAfterUs", s.Limits.MaxRetryAfterUs},
 		{"Safety.AskEveryUs", s.Safety.AskEveryUs},
+		{"Safety.DrainGraceUs", s.Safety.DrainGraceUs},
 		{"Safety.GraceToAnswerUs", s.Safety.GraceToAnswerUs},
 		{"Safety.RampTimeUs", s.Safety.RampTimeUs},
 	} {
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -8,11 +9,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
+	"sorrelrudder/internal/staleness"
 	"sorrelrudder/internal/standin"
 )
 
@@ -20,6 +23,11 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// ask is discovery at addr, on the platform's terms.
+func ask(addr string) Discovery {
+	return Discovery{Addr: addr, Bound: staleness.Of(false, 10*time.Second, 2*time.Second)}
+}
+
 func next(t *testing.T, lists <-chan *List) *List {
 	t.Helper()
 	select {
@@ -65,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	lists, _ := watch(t, Discovery(d.Addr()))
+	lists, _ := watch(t, ask(d.Addr()))
 	if l := next(t, lists); !l.Whole || len(l.Hosts) != 1 {
 		t.Errorf("%+v", l)
 	}
@@ -84,8 +92,11 @@
 		"no version":     func(w io.Writer) { fmt.Fprintln(w, `{"whole":true,"hosts":[]}`) },
 		"no state":       func(w io.Writer) { fmt.Fprintln(w, `{"seq":1,"hosts":[{"host":"a","dial":"b","health":"fine"}]}`) },
 		"no address":     func(w io.Writer) { fmt.Fprintln(w, `{"seq":1,"hosts":[{"host":"a","health":"active"}]}`) },
-		"an endless one": func(w io.Writer) { io.WriteString(w, strings.Repeat("x", mostLine+10)) },
-		"the end":        func(io.Writer) {},
+		"an endless one": func(w io.Writer) { io.WriteString(w, strings.Repeat("x", mostMessage+10)) },
+		"an endless text in one": func(w io.Writer) {
+			io.WriteString(w, `{"seq":1,"pad":"`+strings.Repeat("x", mostMessage+10))
+		},
+		"the end": func(io.Writer) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -95,7 +106,7 @@
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w) })}
 			go server.Serve(ln)
 			defer server.Close()
-			err = Discovery(ln.Addr().String()).Watch(context.Background(), 0, func(l *List) { t.Errorf("took over %+v", l) })
+			err = ask(ln.Addr().String()).Watch(context.Background(), 0, func(l *List) { t.Errorf("took over %+v", l) })
 			if err == nil || errors.Is(err, context.Canceled) {
 				t.Errorf("ended with %v", err)
 			}
@@ -123,3 +134,118 @@
 		}
 	})
 }
+
+// scriptedDiscovery answers each call by a script.
+func scriptedDiscovery(t *testing.T, answer func(c net.Conn)) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			calls.Go(func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		calls.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// TestIndentedLists guards against taking a list that stands on several lines for one that can't be read.
+func TestIndentedLists(t *testing.T) {
+	release := make(chan struct{})
+	addr := scriptedDiscovery(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{\n  \"seq\": 1,\n  \"whole\": true,\n  \"hosts\": [\n    {\"host\": \"a\",\n     \"dial\": \"127.0.0.1:1\",\n     \"health\": \"active\"}\n  ]\n}\n\n\n")
+		io.WriteString(c, "{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":\"a\",\"dial\":\"127.0.0.1:1\",\"health\":\"leaving\"}]}{\n\"seq\":3,\n\n\"hosts\":[]}\n")
+		<-release
+	})
+	lists, _ := watch(t, ask(addr))
+	for i, want := range []struct{ seq, hosts int64 }{{1, 1}, {2, 1}, {3, 0}} {
+		if l := next(t, lists); *l.Seq != want.seq || int64(len(l.Hosts)) != want.hosts {
+			t.Errorf("message %d: %+v, want %+v", i, l, want)
+		}
+	}
+	close(release)
+}
+
+// TestSilentDiscovery guards against waiting for a watch that has fallen silent, wherever it did, and against giving up one that
+// only has nothing to tell.
+func TestSilentDiscovery(t *testing.T) {
+	bound := staleness.Bound{Silence: 300 * time.Millisecond, Call: 300 * time.Millisecond}
+	const head, list = "HTTP/1.1 200 OK\r\n\r\n", `{"seq":1,"whole":true,"hosts":[]}` + "\n"
+	for name, script := range map[string]struct {
+		text  string
+		every string // is written each 50 ms behind it
+		lists int
+	}{
+		"at once":                               {},
+		"within the head":                       {text: head[:10]},
+		"after the head":                        {text: head},
+		"empty lines and no list":               {text: head, every: "\n"},
+		"after a list":                          {text: head + list, lists: 1},
+		"within a message":                      {text: head + list + list[:9], lists: 1},
+		"in a message that comes by the byte":   {text: head + list + `{"pad":"`, every: "x", lists: 1},
+		"in a first one that comes by the byte": {text: head + `{"pad":"`, every: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			over := make(chan struct{})
+			addr := scriptedDiscovery(t, func(c net.Conn) {
+				io.WriteString(c, script.text)
+				tick := time.NewTicker(50 * time.Millisecond)
+				defer tick.Stop()
+				for {
+					select {
+					case <-over:
+						return
+					case <-tick.C:
+						if _, err := io.WriteString(c, script.every); err != nil {
+							<-over
+							return
+						}
+					}
+				}
+			})
+			defer close(over)
+			lists := 0
+			err := Discovery{Addr: addr, Bound: bound}.Watch(context.Background(), 0, func(*List) { lists++ })
+			if !errors.Is(err, ErrSilent) || !strings.Contains(err.Error(), addr) {
+				t.Errorf("ended with %v, want %v with the address", err, ErrSilent)
+			}
+			if lists != script.lists {
+				t.Errorf("told %d lists, want %d", lists, script.lists)
+			}
+		})
+	}
+	t.Run("not with empty lines", func(t *testing.T) {
+		t.Parallel()
+		addr := scriptedDiscovery(t, func(c net.Conn) {
+			io.WriteString(c, head+list)
+			for range 20 { // each well within the silence, all together far beyond it
+				time.Sleep(50 * time.Millisecond)
+				io.WriteString(c, "\n")
+			}
+			io.WriteString(c, list)
+		})
+		lists := 0
+		if err := (Discovery{Addr: addr, Bound: bound}).Watch(context.Background(), 0, func(*List) { lists++ }); !errors.Is(err, io.EOF) {
+			t.Errorf("ended with %v, want the end", err)
+		}
+		if lists != 2 {
+			t.Errorf("told %d lists, want 2", lists)
+		}
+	})
+}
--- /dev/null
+++ b/internal/staleness/staleness.go
@@ -0,0 +1,62 @@
+// Package staleness is the one reckoning of how old a pool's list of servers may get: for how long a watch may be silent,
+// a call may go unanswered and a pause may last, so that what discovery has to tell is heard before the platform's rules
+// take it for told. It reads no clock.
+package staleness
+
+import "time"
+
+const (
+	// Told is the platform's term: a change counts as told so long after discovery had it and could be reached, whether or not it
+	// was heard; after a watch fell silent, as after a call that failed or was given up.
+	Told = 6 * time.Second
+	// Beat is how often a watch says something at least: an empty line while nothing changes.
+	Beat = 2 * time.Second
+	// usualGrace is taken where the settings give none: the least that is known of any deployment.
+	usualGrace = 500 * time.Millisecond
+	// leastCall keeps the calls to an agent apart where the settings give no time at all.
+	leastCall = 50 * time.Millisecond
+)
+
+// Bound says how a list is kept from growing older than it may.
+type Bound struct {
+	// Silence is how long a watch may say nothing before it is taken for broken.
+	Silence time.Duration
+	// Call is how long a call may take until its first message, the connection included. Discovery turns away what has waited
+	// too long by itself; it does not tell after how long, and 3 s is the most that is known of any deployment.
+	Call time.Duration
+	// Again is the most from the end of a watch, or of a call that was given up, to the next call.
+	Again time.Duration
+	// Pause is the same from a call that discovery turned away.
+	Pause time.Duration
+	// AskEvery is for how long a process that has neither watched nor asked may hold on to its list.
+	AskEvery time.Duration
+}
+
+// Of returns the bound for a list that discovery is asked for, or, if it is pushed, that an agent beside the process has:
+// the agent answers at once and at no cost, and what it has counts as told from the first moment on, so that the grace
+// alone is there to hear it. askEvery and grace are what the settings give; a grace of 0 is none.
+func Of(pushed bool, askEvery, grace time.Duration) Bound {
+	if grace <= 0 {
+		grace = usualGrace
+	}
+	if !pushed {
+		return Bound{
+			Silence: Beat + time.Second, Call: 3250 * time.Millisecond, Again: 500 * time.Millisecond, Pause: 1500 * time.Millisecond,
+			AskEvery: askEvery,
+		}
+	}
+	call := max(leastCall, min(grace, Beat)*2/5)
+	return Bound{Silence: Beat + time.Second, Call: call, Again: call / 2, Pause: call, AskEvery: call}
+}
+
+// The worst that each way of missing a change takes until the call that hears of it: what is left of the term and the grace is
+// for the answer.
+
+// AfterSilence is from the moment in which a watch fell silent: the last that it said may have come just then.
+func (b Bound) AfterSilence() time.Duration { return b.Silence + b.Again }
+
+// AfterMute is from the moment in which discovery could be reached again, just after a call had set out that nothing answers.
+func (b Bound) AfterMute() time.Duration { return b.Call + b.Again }
+
+// AfterRefusal is the same where the call was turned away just before.
+func (b Bound) AfterRefusal() time.Duration { return b.Pause }
--- /dev/null
+++ b/internal/staleness/staleness_test.go
@@ -0,0 +1,50 @@
+package staleness
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "sorrelrudder/internal/fixedseed"
+)
+
+// TestBudgetAddsUp guards against times that are each sensible and too long together: for every mode, group and grace in range a
+// change is heard before it counts as told and the grace is over, with time left for the answer.
+func TestBudgetAddsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(100, 10_000).Draw(t, "grace")) * time.Millisecond
+		ask := time.Duration(rapid.Int64Range(100, 60_000).Draw(t, "askEvery")) * time.Millisecond
+		pushed := rapid.Bool().Draw(t, "pushed")
+		b := Of(pushed, ask, grace)
+		// Where discovery is asked a change is told at the end of the term; what an agent has is told at once.
+		term, answer := Told+grace, 2*time.Second
+		if pushed {
+			term, answer = grace, grace/10
+		}
+		for name, worst := range map[string]time.Duration{"a call that nothing answers": b.AfterMute(), "a call turned away": b.AfterRefusal()} {
+			if worst+answer > term {
+				t.Errorf("pushed %v, grace %v: %s leaves %v of %v for the answer, want %v", pushed, grace, name, term-worst, term, answer)
+			}
+		}
+		if left := Told + grace - b.AfterSilence(); left < 2*time.Second {
+			t.Errorf("pushed %v, grace %v: a silent watch leaves %v for the answer", pushed, grace, left)
+		}
+		if b.Silence <= Beat {
+			t.Errorf("a watch is taken for silent after %v, while it may say nothing for %v", b.Silence, Beat)
+		}
+		if !pushed && b.AskEvery != ask {
+			t.Errorf("asks every %v, the settings say %v", b.AskEvery, ask)
+		}
+		if b.Call <= 0 || b.Again <= 0 || b.Pause <= 0 || b.AskEvery <= 0 {
+			t.Errorf("a time of none would be a loop without a pause: %+v", b)
+		}
+	})
+}
+
+// TestNoGrace takes the shortest that is known where the settings give none.
+func TestNoGrace(t *testing.T) {
+	if got, want := Of(true, time.Second, 0), Of(true, time.Second, usualGrace); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -86,6 +86,8 @@
 	WarmKeys      bool // a server does less work for a key that it met lately
 
 	AskEvery    time.Duration // without news this long, the list counts as told
+	AskPause    time.Duration // most from a failed call for the list to the next; 0: as AskEvery allows
+	AskAgain    time.Duration // most from the loss of the list to the call; 0: as AskEvery allows
 	AnswerGrace time.Duration
 	ColdFrom    float64       // least share of capacity at a server's start
 	Ramp        time.Duration // a server is warm after it
@@ -123,7 +125,7 @@
 	ListFull                   // everything; absent servers are gone
 	ListCached                 // everything, perhaps out of date
 	ListFailed                 // a call failed or the subscription broke
-	ListMoved                  // the list is to be had at another address from now on
+	ListLost                   // the list may be out of date, and can be had: its subscription ended, or it has moved
 )
 
 // Request is a client's request.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -132,13 +133,13 @@
 		// that ask again at once would swamp the list service for good.
 		b.watching = false
 		b.watchFails++
-		pause := b.spread(b.cfg.AskEvery/8) << min(b.watchFails, 3)
+		pause := min(b.spread(b.cfg.AskEvery/8)<<min(b.watchFails, 3), cmp.Or(b.cfg.AskPause*2/3, b.cfg.AskEvery))
 		act.SetTimer(pause/2+b.jitter(pause), "watch")
 		return
 	}
-	if kind == ListMoved {
+	if kind == ListLost {
 		b.watching, b.watchFails = false, 0
-		act.SetTimer(b.jitter(b.spread(b.cfg.AskEvery/16)), "watch")
+		act.SetTimer(b.jitter(min(b.spread(b.cfg.AskEvery/16), cmp.Or(b.cfg.AskAgain, b.cfg.AskEvery))), "watch")
 		return
 	}
 	if kind != ListDelta {
