One judge before an attempt's first byte: told to drain, client gone, window or deadline past

Found by reading: between the module's decision to send and the first byte lie the dial (DialTimeout), a wait for a descriptor and whatever time the process is not run (pool/attempt.go attempt). A server told meanwhile to drain, gone or started anew was sent to, a request whose client had left too where the settings allow no cancelling (policy cancelAll), a keyed repeat past its window. front's watch looked at nothing where bytes were buffered and stopped at the first further byte (request.go watch), and a request read late, with its end behind it, was sent on before anybody looked. Ruled out: requests held in the module; the watch withdraws those at once.

Change: pool.begins is asked right before the first byte of every attempt, and stops it as never sent (Moot); message.Request.Left tells of the client, by a look at its socket (also behind unread bytes) or its stream's context. watch looks past what the client writes on. TestToldWhileConnecting, TestLeftWhileConnecting, TestWindowWhileConnecting, TestClientLeavesBehindBytes and TestClientLeftBeforeItWasRead fail without it; TestEnded holds the look.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sorrelrudder/internal/message"
@@ -47,7 +48,7 @@
 // requestReader reads the requests of one client's connection.
 type requestReader struct {
 	r    *bufio.Reader
-	left bool // the client has closed: set before the channel of watch is
+	left atomic.Bool // the client has closed: set before the channel of watch is
 }
 
 func newRequestReader(r io.Reader) *requestReader {
@@ -247,27 +248,24 @@
 	return len(name) > 0
 }
 
-// watch waits for the client to close, or to write on, while its request is open. It returns a channel that is closed
-// when either has happened, or nil if the next request is there already.
+// watch waits for the client to close while its request is open, whatever it writes on meanwhile, as far as that has room. It
+// returns a channel that is closed when the client has, or once there is no more room.
 func (r *requestReader) watch() <-chan struct{} {
-	if r.r.Buffered() > 0 {
-		return nil
-	}
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
-		_, err := r.r.Peek(1)
-		r.left = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+		err := error(nil)
+		for err == nil {
+			_, err = r.r.Peek(r.r.Buffered() + 1)
+		}
+		r.left.Store(err != bufio.ErrBufferFull && !errors.Is(err, os.ErrDeadlineExceeded))
 	}()
 	return gone
 }
 
 // unwatch ends the wait of watch, and reports whether the client is still there.
 func (r *requestReader) unwatch(c net.Conn, gone <-chan struct{}) bool {
-	if gone == nil {
-		return true
-	}
 	c.SetReadDeadline(time.Unix(1, 0))
 	<-gone
-	return !r.left
+	return !r.left.Load()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -203,6 +203,9 @@
 	return n, err
 }
 
+// left reports whether the client has closed.
+func (c *clientConn) left() bool { return c.reader.left.Load() || proc.Ended(c.Conn) }
+
 // still is for how long nothing has come on c.
 func (c *clientConn) still() time.Duration { return time.Since(started) - time.Duration(c.read.Load()) }
 
@@ -302,7 +305,7 @@
 			return
 		}
 		c.old, c.bare = q.old, q.Method == http.MethodHead
-		q.Remote, q.Secure = c.RemoteAddr(), c.port.TLS != nil
+		q.Remote, q.Secure, q.Left = c.RemoteAddr(), c.port.TLS != nil, c.left
 		status, admitted, open := s.answer(c, q)
 		if !open {
 			return
@@ -875,7 +878,7 @@
 	select {
 	case ans = <-x.Answer():
 	case <-gone:
-		if c.reader.left && x.Withdraw() {
+		if c.reader.left.Load() && x.Withdraw() {
 			return ans, false
 		}
 		ans = <-x.Answer()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -92,8 +92,15 @@
 
 func start(t *testing.T, descriptors int, wrap func(net.Listener) net.Listener) *running {
 	t.Helper()
-	d := proc.NewDescriptors(descriptors)
 	h := &echoHandler{conns: map[Owner]int{}}
+	r := startWith(t, h, descriptors, wrap)
+	r.handler = h
+	return r
+}
+
+func startWith(t *testing.T, h Handler, descriptors int, wrap func(net.Listener) net.Listener) *running {
+	t.Helper()
+	d := proc.NewDescriptors(descriptors)
 	s := New(h, d, slog.New(slog.DiscardHandler))
 	d.OnClients(s.Evict)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -117,7 +124,7 @@
 		s.Wait(ctx)
 		s.done.Wait()
 	})
-	return &running{s, h, ln.Addr().String()}
+	return &running{s, nil, ln.Addr().String()}
 }
 
 // idleOf counts the idle connections of an owner. The caller holds mu.
@@ -261,19 +268,24 @@
 // TestEvictionGoesByExcess guards against taking the connection of a pool that holds few for one that holds many.
 func TestEvictionGoesByExcess(t *testing.T) {
 	s := start(t, 256, nil)
+	idle := func(o Owner, n int) { // one after the other: the order in which they come to rest is that of their answers
+		t.Helper()
+		waitFor(t, "all to be idle", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.idleOf(o) == n
+		})
+	}
 	meters := s.dial(t)
 	meters.ask(t, get("meters", "m"))
+	idle('m', 1)
 	var orders []*client
 	for range 3 {
 		c := s.dial(t)
 		c.ask(t, get("orders", "o"))
 		orders = append(orders, c)
+		idle('o', len(orders))
 	}
-	waitFor(t, "all to be idle", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.idle['o'] != nil && s.idleOf('o') == 3 && s.idle['m'] != nil
-	})
 	if !s.Evict() || !s.Evict() {
 		t.Fatal("nothing was evicted")
 	}
@@ -505,3 +517,70 @@
 		}
 	}
 }
+
+// heldHandler takes each request and answers none until its client has left.
+type heldHandler struct {
+	echoHandler
+	took chan heldExchange
+}
+
+func (h *heldHandler) Admit(q *message.Request) (Admission, Owner, error) {
+	return heldAdmission{h, q}, 'h', nil
+}
+
+type heldAdmission struct {
+	h *heldHandler
+	q *message.Request
+}
+
+func (a heldAdmission) Take([]byte, message.Rest) (Exchange, error) {
+	x := heldExchange{a.q, make(chan message.Answer, 1), make(chan struct{}, 1)}
+	a.h.took <- x
+	return x, nil
+}
+func (heldAdmission) Release() {}
+
+type heldExchange struct {
+	q         *message.Request
+	answer    chan message.Answer
+	withdrawn chan struct{}
+}
+
+func (x heldExchange) Answer() <-chan message.Answer { return x.answer }
+func (x heldExchange) Withdraw() bool {
+	x.withdrawn <- struct{}{}
+	return true
+}
+
+// TestClientLeavesBehindBytes guards against a client that is never seen to leave, because it has sent more than its request: with
+// it, behind it in the same piece, or later.
+func TestClientLeavesBehindBytes(t *testing.T) {
+	const q = "GET /c HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n"
+	for name, c := range map[string]struct{ first, then string }{
+		"nothing more":               {q, ""},
+		"another request with it":    {q + q, ""},
+		"another request later":      {q, q},
+		"several, piece after piece": {q + q, q + q + q},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &heldHandler{echoHandler{conns: map[Owner]int{}}, make(chan heldExchange, 8)}
+			r := startWith(t, h, 64, nil)
+			client := r.dial(t)
+			io.WriteString(client, c.first)
+			x := <-h.took
+			if x.q.Left() {
+				t.Error("has left before it did")
+			}
+			io.WriteString(client, c.then)
+			client.Close()
+			select {
+			case <-x.withdrawn:
+			case <-time.After(patience):
+				t.Fatal("it was not seen to leave")
+			}
+			if !x.q.Left() {
+				t.Error("who asks is not told that it has left")
+			}
+		})
+	}
+}
--- a/internal/front/streams.go
+++ b/internal/front/streams.go
@@ -77,7 +77,7 @@
 		v.write(w, r, err.(message.Bad).Answer())
 		return
 	}
-	q.Secure = v.c.port.TLS != nil
+	q.Secure, q.Left = v.c.port.TLS != nil, func() bool { return r.Context().Err() != nil }
 	adm, owner, err := v.s.handler.Admit(q)
 	v.own(owner)
 	if err != nil {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -45,6 +45,9 @@
 	Remote fmt.Stringer // the address that it came from, nil: not known
 	Body   []byte
 	Rest   Rest // what comes after Body; nil: nothing
+	// Left reports whether the client has closed its connection or cancelled the request; nil: nobody can tell. It may be called
+	// from any goroutine, also after the request has its answer.
+	Left func() bool
 }
 
 // Answer is the final answer to a request.
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -91,6 +91,11 @@
 		return
 	}
 	q := p.request(a)
+	if !p.begins(a, to) {
+		c.Close()
+		p.settle(a, policy.Moot, nil, message.Answer{})
+		return
+	}
 	var resp *http.Response
 	if err = c.Send(q); err == nil && q.Rest != nil {
 		err = p.upload(a, c, q)
@@ -147,6 +152,48 @@
 	p.pass(a, c, resp, load)
 }
 
+// begins is the one judge of whether an attempt, which was decided on some time ago, may still send its first byte: a connection that
+// came up late, a wait for a descriptor, or a process that was not run lie between. It guards against sending to a server that has
+// been told to drain or to have gone meanwhile, for a client that has left, past the deadline, and a repeat past the time for which
+// repeats are dropped. An attempt that is stopped here has never run.
+func (p *Pool) begins(a *attempt, to *upstream.Peer) (may bool) {
+	r := a.req
+	left := r.left != nil && r.left()
+	p.event(func(now policy.Time) {
+		switch {
+		case r.ended:
+		case left: // whoever waits for the answer is let go, and finds the client gone
+			p.balancer.Withdrawn(now, r.id, p)
+			p.end(r, message.Answer{Status: http.StatusBadGateway})
+		default:
+			e, listed := p.entries[a.server]
+			may = listed && p.peers[a.server] == to && p.listed(e).State == policy.Ready &&
+				time.Now().Before(a.deadline) && !p.pastWindow(now, a)
+		}
+	})
+	return may
+}
+
+// pastWindow reports whether a is the repeat of a keyed request that may have run so long ago that it might not be dropped.
+func (p *Pool) pastWindow(now policy.Time, a *attempt) bool {
+	r := a.req
+	keep := p.keeps[r.event.Class]
+	if p.effects[r.event.Class] != policy.Keyed {
+		return false
+	}
+	for _, b := range r.attempts {
+		if b != a && !(b.done && b.status.NotRun()) && now >= b.sent+keep {
+			return true
+		}
+	}
+	for _, b := range r.event.Prior {
+		if !b.NotRun && now >= r.taken+b.For {
+			return true
+		}
+	}
+	return false
+}
+
 // turnedAway reports whether an answer proves that the request has not run.
 func turnedAway(resp *http.Response) bool {
 	s := resp.StatusCode
--- a/internal/pool/away.go
+++ b/internal/pool/away.go
@@ -54,7 +54,7 @@
 	}
 	now := p.now()
 	h := &Handover{
-		Message: message.Request{Method: r.method, URI: r.uri, Host: r.host, Header: r.header.Clone(), Body: r.body},
+		Message: message.Request{Method: r.method, URI: r.uri, Host: r.host, Header: r.header.Clone(), Body: r.body, Left: r.left},
 		Name:    r.name, Event: r.event, Until: p.origin.Add(r.event.Expires), Refusal: refusal, pool: p, r: r, left: make(chan struct{}),
 	}
 	if h.Message.Header == nil {
--- /dev/null
+++ b/internal/pool/begins_test.go
@@ -0,0 +1,246 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sorrelrudder/internal/message"
+	"sorrelrudder/internal/proc"
+	"sorrelrudder/internal/settings"
+	"sorrelrudder/internal/share"
+	"sorrelrudder/internal/source"
+	"sorrelrudder/internal/upstream"
+	"sorrelrudder/policy"
+)
+
+// crossing is a pool before two servers whose connections come up when the test says so.
+type crossing struct {
+	*Pool
+	src   scripted
+	dials chan heldDial
+	sent  chan string // the addresses to which requests have come
+	hosts [2]source.Entry
+}
+
+// heldDial is a connection that waits for the test to let it come up.
+type heldDial struct {
+	addr string
+	up   chan struct{}
+}
+
+// startCrossing starts one. With no answer a server resets the connection once it has a request.
+func startCrossing(t *testing.T, class policy.Class, answer string) *crossing {
+	t.Helper()
+	x := &crossing{
+		src:   scripted{make(chan *source.List), make(chan struct{}, 1)},
+		dials: make(chan heldDial, 16), sent: make(chan string, 16),
+	}
+	for i := range x.hosts {
+		x.hosts[i] = source.Entry{Host: string(rune('a' + i)), Dial: serveOnce(t, answer, x.sent), Health: "active"}
+	}
+	cfg := policy.Config{
+		GroupSize: 1, MaxAttempts: 2, AskEvery: 8 * time.Millisecond, Tick: time.Millisecond, DialTimeout: time.Millisecond,
+		Classes: []policy.Class{class},
+	}
+	descriptors := proc.NewDescriptors(64)
+	descriptors.Set(1, share.Claim{Max: share.NoLimit}, func() bool { return false })
+	up := upstream.New(cfg, descriptors.Pool(1))
+	up.DialWith(func(_ context.Context, addr string) (net.Conn, error) { // it comes up however late that is
+		h := heldDial{addr, make(chan struct{})}
+		x.dials <- h
+		<-h.up
+		return net.Dial("tcp", addr)
+	})
+	var err error
+	x.Pool, err = New(Config{Settings: settings.Settings{Config: cfg}, Source: x.src, Known: x.list(1)}, up, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.Close)
+	return x
+}
+
+// list is that of both servers as they stand.
+func (x *crossing) list(seq int64) *source.List {
+	return &source.List{Seq: &seq, Whole: true, Hosts: []source.Entry{x.hosts[0], x.hosts[1]}}
+}
+
+// change has the list tell of another state of the server at addr.
+func (x *crossing) change(addr string, change func(*source.Entry)) {
+	for i := range x.hosts {
+		if x.hosts[i].Dial == addr {
+			change(&x.hosts[i])
+		}
+	}
+	x.src.calls <- x.list(2)
+	<-x.src.took
+}
+
+func (x *crossing) take(t *testing.T, q policy.Request, timeout time.Duration, left func() bool) *Exchange {
+	t.Helper()
+	e, err := x.Take(&message.Request{Method: "POST", URI: "/c", Host: "h", Header: http.Header{"X-Request-Id": {"r"}}, Left: left},
+		Ask{event: q, timeout: timeout, name: "r"}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// serveOnce listens for requests and answers each.
+func serveOnce(t *testing.T, answer string, sent chan<- string) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = ln.Addr().String()
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					sent <- addr
+					if answer == "" {
+						c.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					io.WriteString(c, answer)
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		all.Wait()
+	})
+	return addr
+}
+
+func wait[T any](t *testing.T, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(20 * time.Second):
+		t.Fatalf("waited in vain for %s", what)
+	}
+	return v
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+var safeClass = policy.Class{Name: "c", Worth: 1, Aim: time.Minute, Deadline: time.Minute}
+
+// TestToldWhileConnecting guards against a request that is sent to a server which the list has said to drain, or to have gone, or
+// to be another process by now, while the connection to it came up: another server gets it.
+func TestToldWhileConnecting(t *testing.T) {
+	for name, change := range map[string]func(*source.Entry){
+		"drains":    func(e *source.Entry) { e.Health = "leaving" },
+		"restarted": func(e *source.Entry) { e.BornMs = time.Now().UnixMilli() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := startCrossing(t, safeClass, fine)
+			e := x.take(t, policy.Request{Class: "c"}, time.Minute, nil)
+			first := wait(t, "the first attempt", x.dials)
+			x.change(first.addr, change)
+			close(first.up)
+			second := wait(t, "another attempt", x.dials)
+			close(second.up)
+			if a := wait(t, "the answer", e.Answer()); a.Status != http.StatusOK {
+				t.Errorf("answered %d", a.Status)
+			}
+			if to := wait(t, "the request", x.sent); to != second.addr || len(x.sent) > 0 {
+				t.Errorf("sent to %s first, %d times more; want to %s alone", to, len(x.sent), second.addr)
+			}
+		})
+	}
+}
+
+// TestLeftWhileConnecting guards against an attempt, first or further, that begins after its client has left.
+func TestLeftWhileConnecting(t *testing.T) {
+	for name, attempt := range map[string]int{"first": 1, "further": 2} {
+		t.Run(name, func(t *testing.T) {
+			x := startCrossing(t, safeClass, "")
+			var left atomic.Bool
+			e := x.take(t, policy.Request{Class: "c"}, time.Minute, left.Load)
+			for i := range attempt {
+				d := wait(t, "an attempt", x.dials)
+				if i+1 == attempt {
+					left.Store(true)
+				}
+				close(d.up)
+				if i+1 < attempt {
+					wait(t, "the request", x.sent)
+				}
+			}
+			wait(t, "the answer", e.Answer())
+			x.awaitEmpty(t)
+			if len(x.sent)+len(x.dials) > 0 {
+				t.Errorf("%d attempts more were sent, %d begun", len(x.sent), len(x.dials))
+			}
+		})
+	}
+}
+
+// TestWindowWhileConnecting guards against the repeat of a keyed request that is written after servers have forgotten its key,
+// since its connection came up late.
+func TestWindowWhileConnecting(t *testing.T) {
+	const window = 150 * time.Millisecond
+	x := startCrossing(t, policy.Class{Name: "c", Effect: policy.Keyed, KeyTTL: window, Worth: 1, Aim: time.Minute, Deadline: time.Minute}, "")
+	e := x.take(t, policy.Request{Class: "c"}, time.Minute, nil)
+	close(wait(t, "the first attempt", x.dials).up)
+	wait(t, "the request", x.sent) // it may have run: the connection is reset
+	second := wait(t, "its repeat", x.dials)
+	time.Sleep(window) // more makes no difference
+	close(second.up)
+	if a := wait(t, "the answer", e.Answer()); a.Status == http.StatusOK {
+		t.Errorf("answered %d", a.Status)
+	}
+	x.awaitEmpty(t)
+	if len(x.sent) > 0 {
+		t.Error("the repeat was sent")
+	}
+}
+
+// TestDeadlineWhileConnecting guards against a request that is written after its time: what it does then is of use to nobody.
+func TestDeadlineWhileConnecting(t *testing.T) {
+	const patience = 100 * time.Millisecond
+	x := startCrossing(t, safeClass, fine)
+	e := x.take(t, policy.Request{Class: "c"}, patience, nil)
+	first := wait(t, "the first attempt", x.dials)
+	wait(t, "the answer", e.Answer())
+	close(first.up)
+	x.awaitEmpty(t)
+	if len(x.sent) > 0 {
+		t.Error("it was sent")
+	}
+}
+
+// awaitEmpty returns once all requests have ended and their attempts are back.
+func (x *crossing) awaitEmpty(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		n, _, _ := x.Load()
+		if n == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d requests are kept", n)
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -148,6 +148,7 @@
 	rest     message.Rest  // what follows body; nil: nothing
 	timeout  time.Duration // how long the client waits once all of it is sent
 	free     func()        // gives the room of body back
+	left     func() bool   // whether its client has left; nil: nobody can tell
 	answer   chan message.Answer
 	event    policy.Request // as the module was told
 	taken    policy.Time
--- a/internal/proc/proc_test.go
+++ b/internal/proc/proc_test.go
@@ -160,3 +160,49 @@
 		t.Error("what cannot be looked at must not count as quiet")
 	}
 }
+
+// TestEnded guards against taking a client for one that is still there because bytes stand before its end.
+func TestEnded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for name, end := range map[string]func(*net.TCPConn){
+		"closed":             func(c *net.TCPConn) { c.Close() },
+		"closed with bytes":  func(c *net.TCPConn) { c.Write([]byte("more")); c.Close() },
+		"reset":              func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"reset behind bytes": func(c *net.TCPConn) { c.Write([]byte("more")); c.SetLinger(0); c.Close() },
+	} {
+		far, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		near, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if Ended(near) {
+			t.Errorf("%s: ended before it was", name)
+		}
+		far.Write([]byte("x"))
+		for end := time.Now().Add(patience); Quiet(near) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+		if Ended(near) {
+			t.Errorf("%s: ended when a byte had come", name)
+		}
+		end(far.(*net.TCPConn))
+		for end := time.Now().Add(patience); !Ended(near); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: never seen to end", name)
+			}
+		}
+		near.Close()
+	}
+	pipe, other := net.Pipe()
+	defer other.Close()
+	defer pipe.Close()
+	if Ended(pipe) {
+		t.Error("what cannot be looked at must not count as ended")
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"sorrelrudder/internal/message"
+	"sorrelrudder/internal/proc"
 )
 
 // patience is how long a test waits for what must come; none asserts that something takes less.
@@ -750,3 +751,40 @@
 		t.Errorf("%d of %d requests that the first upstream swallowed were answered", answered, rounds)
 	}
 }
+
+// TestClientLeftBeforeItWasRead guards against sending what a client asked that had left before its request was read: it waited for a
+// descriptor, and its end stands right behind it.
+func TestClientLeftBeforeItWasRead(t *testing.T) {
+	release := make(chan struct{})
+	u := startUpstream(t, func(q *http.Request, b []byte) string {
+		<-release
+		return echo(q, b)
+	})
+	const sockets = 64
+	s := start(t, config(t, "127.0.0.1:1", sockets, listOf(t, u)))
+	var busy []*client
+	for i := range int(proc.ClientMost(sockets)) { // as many as clients may hold
+		c := s.dial(t)
+		io.WriteString(c, get("busy"+strconv.Itoa(i)))
+		busy = append(busy, c)
+		<-u.seen
+	}
+	for i := range 3 {
+		c := s.dial(t)
+		io.WriteString(c, get("left"+strconv.Itoa(i)))
+		c.Close()
+	}
+	close(release)
+	for _, c := range busy {
+		c.ask(t, "")
+		c.Close()
+	}
+	if status, _ := s.dial(t).ask(t, get("after")); status != 200 { // it came behind them
+		t.Errorf("answered %d", status)
+	}
+	for len(u.seen) > 0 {
+		if id := <-u.seen; strings.HasPrefix(id, "left") {
+			t.Errorf("%s was sent", id)
+		}
+	}
+}
