Connections end in order after their last answer; what is open is given up before the kill

Found by reading. After a last answer serve went straight to Close (front/server.go drop): bytes of the client that stood unread made that a reset, which can take the answer along. Only rejected requests were read on for. linger is the one way of ending now, whoever wrote the last answer: the sending first, then 200 ms or 256 KiB of reading, for nobody.

After SIGTERM the process waited for the longest deadline, however long (gateway.go Run): the platform kills 0.7 s after 3 s at the latest, and Server.Wait then closed connections without an answer. Config.DrainMost (3 s for the sidecar) bounds it, and pool.GiveUp answers what is open just before: refused if it was never sent, else failed; nothing more is taken.

TestLastAnswerAndUnreadBytes (five of six cases) fails without linger, TestGivenUpBeforeTheKill and TestGiveUp need GiveUp.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -40,8 +40,8 @@
 	longWriteTime = 10 * time.Second
 	// copyBuffer is how much of a long answer is passed on at a time.
 	copyBuffer = 32 << 10
-	// lingerTime and lingerBytes bound how much of a rejected request is still read, so that the client finds the
-	// error rather than a reset.
+	// lingerTime and lingerBytes bound how much is still read behind a last answer, so that the client finds it rather than a
+	// reset.
 	lingerTime  = 200 * time.Millisecond
 	lingerBytes = 256 << 10
 	// freshTime is the age under which a connection makes room for another only if no older one can: its first
@@ -146,6 +146,7 @@
 	fresh   = iota // no request has come yet
 	reading        // one has begun to come
 	streams        // may carry several requests at once, and carries none
+	lingering      // has had its last answer, see linger
 	quietKinds
 )
 
@@ -171,6 +172,7 @@
 	reader  *requestReader
 	early   *time.Timer // of await
 	peer    string      // of Options.Identify
+	last    bool        // it has had its last answer whole, and ends in order
 	old     bool        // its last request was of HTTP/1.0, which knows no chunks
 	bare    bool        // its last request was HEAD, whose answer has no body
 
@@ -185,8 +187,6 @@
 	rests  bool           // Server.mu: the rule has let it wait and is owed how that ended
 	wait   keep.Wait      // Server.mu: what it said
 	read   atomic.Int64   // when something was read last, in nanoseconds since started
-	// dismissed is set while the connection makes room for another: it does not linger.
-	dismissed atomic.Bool
 }
 
 // started is the origin of clientConn.read.
@@ -453,7 +453,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leave(c)
-	if s.closing(c) && c.reader.r.Buffered() == 0 {
+	if s.closing(c) && c.reader.r.Buffered() == 0 && proc.Quiet(c.Conn) {
 		return false
 	}
 	s.setQuiet(c)
@@ -509,7 +509,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leave(c)
-	c.dismissed.Store(false)
 	c.SetDeadline(time.Time{})
 }
 
@@ -533,12 +532,14 @@
 // Until the goroutine runs the descriptor stays taken. The caller holds mu.
 func (s *Server) dismiss(c *clientConn) {
 	s.leave(c)
-	c.dismissed.Store(true)
 	c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // drop closes c and forgets it.
 func (s *Server) drop(c *clientConn) {
+	if c.last {
+		s.linger(c)
+	}
 	c.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -557,8 +558,8 @@
 }
 
 // Evict dismisses a connection without a whole request to make room for another, and reports whether there was one. It
-// guards against clients that hold descriptors for nothing, whatever their reason. In turn: the oldest that never sent
-// anything; one whose request does not come on; of the one worth least to the rule of the pool that has most beyond its part,
+// guards against clients that hold descriptors for nothing, whatever their reason. In turn: one that has had its last answer, and
+// nothing has come behind it; the oldest that never sent anything; one whose request does not come on; of the one worth least to the rule of the pool that has most beyond its part,
 // which would have asked again and then connects anew, and the oldest of those that have just come, the one worth less; one of
 // a pool that is within its part.
 func (s *Server) Evict() bool {
@@ -568,7 +569,7 @@
 }
 
 func (s *Server) evict() bool {
-	if s.evictOf(&s.quiet[fresh], freshTime) || s.evictStill() || s.ending < mostEnding && s.evictStreams() || s.ending > 0 {
+	if s.evictOf(&s.quiet[lingering], 0) || s.evictOf(&s.quiet[fresh], freshTime) || s.evictStill() || s.ending < mostEnding && s.evictStreams() || s.ending > 0 {
 		return true
 	}
 	beyond, within := s.idleOwners()
@@ -853,11 +854,7 @@
 		ans = <-x.Answer() // who read the body has told why it broke off
 	}
 	whole := u.stop()
-	open = s.write(c, ans, q.last || !whole)
-	if !whole {
-		linger(c)
-	}
-	return ans.Status, true, open
+	return ans.Status, true, s.write(c, ans, q.last || !whole)
 }
 
 // await waits for the answer of x, and reports whether the client is still there. Whether it is is watched once the answer
@@ -890,11 +887,7 @@
 func (s *Server) turnAway(c *clientConn, q *clientRequest, err error) (status int, open bool) {
 	var bad message.Bad
 	errors.As(err, &bad)
-	open = s.write(c, bad.Answer(), q.last || !q.skips())
-	if !open && q.Length != 0 {
-		linger(c)
-	}
-	return bad.Status, open
+	return bad.Status, s.write(c, bad.Answer(), q.last || !q.skips())
 }
 
 // write writes an answer, and reports whether another request may follow.
@@ -960,6 +953,7 @@
 			c.abort() // where the end of the connection is that of the answer, a client must be able to tell
 		}
 	}
+	c.last = err == nil && last
 	return err == nil && !last
 }
 
@@ -1012,24 +1006,27 @@
 	return err
 }
 
-// reject answers a request that could not be read, and reads on for a moment.
+// reject answers a request that could not be read.
 func (s *Server) reject(c *clientConn, err error) {
 	var bad message.Bad
 	if !errors.As(err, &bad) {
 		return // the client has gone
 	}
 	s.write(c, bad.Answer(), true)
-	linger(c)
 }
 
-// linger ends the sending on c and reads on for a moment: a close with bytes unread would reset the connection, and the
-// client might not find what it was sent.
-func linger(c *clientConn) {
-	if c.dismissed.Load() {
+// linger is how a connection ends in order: the sending first, and what still comes is read for a moment, and is for nobody. A
+// close with bytes unread would reset the connection, and the client might not find what it was sent. It makes room for others
+// before any other does.
+func (s *Server) linger(c *clientConn) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.SetDeadline(time.Now().Add(lingerTime))
-		io.CopyN(io.Discard, c.Conn, lingerBytes)
-	}
+	s.mu.Lock()
+	s.leave(c)
+	c.SetDeadline(time.Now().Add(lingerTime))
+	s.setPlace(c, &s.quiet[lingering])
+	s.mu.Unlock()
+	io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -584,3 +584,31 @@
 		})
 	}
 }
+
+// TestLastAnswerAndUnreadBytes guards against a reset in place of the end of a connection that has had its last answer, because
+// bytes of its client stood unread: a reset may take the answer with it. What comes behind it is for nobody.
+func TestLastAnswerAndUnreadBytes(t *testing.T) {
+	for name, c := range map[string]struct{ first, then string }{
+		"asked to close":          {"GET /c HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n", get("h", "2")},
+		"not to be kept":          {get("x", "1"), get("x", "2")},
+		"chunked":                 {"POST /c HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", get("h", "2")},
+		"not read to its end":     {"POST /full HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"malformed":               {"noise\r\n\r\n", "noise"},
+		"nothing more is written": {"GET /c HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, 64, nil)
+			client := s.dial(t)
+			// More than a reader takes at once, so that some of it stands in the kernel as the connection ends.
+			more := strings.Repeat(c.then, (3*clientBuffer)/max(1, len(c.then)))
+			io.WriteString(client, c.first+more)
+			resp, _ := client.ask(t, "")
+			if resp.StatusCode == 0 {
+				t.Fatal("no answer")
+			}
+			if n, err := io.Copy(io.Discard, client.r); err != nil || n > 0 {
+				t.Errorf("behind the answer came %d bytes and %v, want the end alone", n, err)
+			}
+		})
+	}
+}
--- a/internal/front/streams.go
+++ b/internal/front/streams.go
@@ -41,7 +41,6 @@
 	s.rested(c, time.Since(c.since), true)
 	c.drain = make(chan struct{})
 	drain := c.drain
-	c.dismissed.Store(false)
 	c.SetDeadline(time.Time{})
 	if s.draining || c.port.draining {
 		s.endStreams(c)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -23,10 +23,13 @@
 	Name        string
 	MemoryMB    int // the process is killed over it
 	Descriptors int // that the process may hold
-	Listeners   []Listener
-	Pools       []Pool
-	Routes      []route.Route // none: all requests are for the only pool
-	Admin       string        // address of the operators' door; empty: none. Read at the start only
+	// DrainMost bounds how long what was taken may take to end after SIGTERM, beyond the window for new connections; 0: as long as
+	// the longest deadline. What has no answer then is given up.
+	DrainMost time.Duration
+	Listeners []Listener
+	Pools     []Pool
+	Routes    []route.Route // none: all requests are for the only pool
+	Admin     string        // address of the operators' door; empty: none. Read at the start only
 
 	// FiguresEvery is how often the log is told what each pool saw and did; 0: never. Read as a pool starts.
 	FiguresEvery time.Duration
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -555,8 +555,16 @@
 	for _, m := range g.table.Load().pools {
 		longest = max(longest, m.pool.Longest())
 	}
+	if g.cfg.DrainMost > 0 {
+		longest = min(longest, g.cfg.DrainMost)
+	}
 	end, cancel := context.WithTimeout(context.Background(), drainWindow+longest+drainSlack)
 	defer cancel()
+	defer time.AfterFunc(drainWindow+longest, func() {
+		for _, m := range g.table.Load().pools {
+			m.pool.GiveUp()
+		}
+	}).Stop()
 	// Answers close their connections from here on, and idle ones are closed: a request that crosses that
 	// comes again on a new connection, which is still accepted.
 	if g.yields() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -54,6 +54,7 @@
 	cfg    Config
 	g      *Gateway
 	addr   string
+	end    func() // as SIGTERM does, and returns once the process has ended
 }
 
 // box starts a box that needs no time.
@@ -121,10 +122,11 @@
 		defer close(ended)
 		g.Run(ctx)
 	}()
-	s.t.Cleanup(func() {
+	s.end = func() {
 		cancel()
 		<-ended
-	})
+	}
+	s.t.Cleanup(s.end)
 }
 
 type client struct {
@@ -745,3 +747,50 @@
 		}
 	}
 }
+
+// TestGivenUpBeforeTheKill guards against requests that are taken and find no answer before the process is killed: every server
+// hangs, and the deadlines are longer than the platform waits.
+func TestGivenUpBeforeTheKill(t *testing.T) {
+	s := newSite(t)
+	s.cfg.DrainMost = 300 * time.Millisecond
+	hangs := s.box("hangs", func(c *standin.BoxConfig) { c.Cores = 100 })
+	hangs.SetFault(standin.Fault{Kind: standin.Silent, Share: 1})
+	s.pool("orders", hangs)
+	s.start()
+	type answered struct {
+		status int
+		err    error
+	}
+	asked := map[string]chan answered{}
+	for name, method := range map[string]string{"check": "GET", "book": "POST"} {
+		c, got := s.dial(), make(chan answered, 1)
+		asked[name] = got
+		io.WriteString(c, s.sent(method, "orders.example.org", "/"+name, name, map[string]string{"POST": "Content-Length: 0\r\n"}[method]))
+		go func() {
+			resp, err := http.ReadResponse(c.r, nil)
+			if err != nil {
+				got <- answered{0, err}
+				return
+			}
+			_, err = io.ReadAll(resp.Body)
+			got <- answered{resp.StatusCode, err}
+		}()
+	}
+	waitFor(t, "both to be taken", func() bool { return s.g.Load().Requests == len(asked) })
+	began := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.end()
+	}()
+	for name, got := range asked {
+		a := <-got
+		if a.err != nil || a.status != http.StatusBadGateway {
+			t.Errorf("%s: answered %d, %v; want a failure", name, a.status, a.err)
+		}
+	}
+	<-ended
+	if took, most := time.Since(began), drainWindow+s.cfg.DrainMost+drainSlack+time.Second; took > most {
+		t.Errorf("ended after %v, want %v at most", took, most)
+	}
+}
--- a/internal/pool/begins_test.go
+++ b/internal/pool/begins_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -244,3 +245,43 @@
 		}
 	}
 }
+
+// TestGiveUp guards against requests without an answer at the end of the process: what an attempt was begun for
+// has failed, and nothing more is taken or sent.
+func TestGiveUp(t *testing.T) {
+	x := startCrossing(t, safeClass, "HTTP/1.1 100 Continue\r\n\r\n") // and nothing more
+	ran := x.take(t, policy.Request{Class: "c"}, time.Minute, nil)
+	close(wait(t, "the first attempt", x.dials).up)
+	wait(t, "the request", x.sent)
+	q := &message.Request{Method: "POST", URI: "/c", Host: "h", Header: http.Header{"X-Request-Id": {"s"}}}
+	connects, err := x.Take(q, Ask{event: policy.Request{Class: "c"}, timeout: time.Minute, name: "s"}, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := wait(t, "another request's attempt", x.dials)
+	x.GiveUp()
+	for name, e := range map[string]*Exchange{"sent": ran, "that connects": connects} {
+		if a := wait(t, "the answer", e.Answer()); a.Status != http.StatusBadGateway {
+			t.Errorf("the one %s was answered %d", name, a.Status)
+		}
+	}
+	var bad message.Bad
+	if _, err := x.Take(q, Ask{event: policy.Request{Class: "c"}, timeout: time.Minute, name: "u"}, func() {}); !errors.As(err, &bad) || bad.Status != http.StatusServiceUnavailable {
+		t.Errorf("a further one was taken, or turned away with %v", err)
+	}
+	close(d.up)
+	waitFor := time.Now().Add(20 * time.Second)
+	for { // the attempts of the first still wait for an answer, and end with the pool
+		n, _, _ := x.Load()
+		if n <= 1 {
+			break
+		}
+		if time.Now().After(waitFor) {
+			t.Fatalf("%d requests are kept", n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if len(x.sent) > 0 {
+		t.Error("one was sent after it was given up")
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -124,6 +124,7 @@
 	alarmAt   policy.Time // zero: not set
 	after     []func(now policy.Time)
 	closed    bool      // nothing more is to happen
+	givenUp   bool      // nothing more is taken
 	tally     tally.Row // what happened since the log was told; counted whether it is or not
 	tells     bool      // it is
 	silent    func(server string, is bool)
@@ -238,6 +239,26 @@
 	p.work.Wait()
 }
 
+// GiveUp answers at once what is still open, as the process is about to end, and has nothing more taken: what was never sent is
+// refused, and what may have run has failed. A long answer that has begun goes on.
+func (p *Pool) GiveUp() {
+	p.event(func(now policy.Time) {
+		p.givenUp = true
+		p.giveBack(now)
+		for _, r := range p.requests {
+			if h := r.away; h != nil {
+				r.away = nil
+				close(h.left)
+				p.answer(r, message.Answer{Status: http.StatusBadGateway}, figures.Aborted)
+				p.forget(r)
+			} else if !r.ended {
+				p.balancer.Withdrawn(now, r.id, p)
+				p.end(r, r.lastOr(message.Answer{Status: http.StatusBadGateway}, false))
+			}
+		}
+	})
+}
+
 // spawn runs f in a goroutine that Close waits for. The caller holds mu.
 func (p *Pool) spawn(f func()) {
 	if !p.closed {
@@ -276,6 +297,9 @@
 func (p *Pool) take(r *request, q policy.Request, timeout time.Duration) error {
 	var err error = errClosed
 	p.event(func(now policy.Time) {
+		if p.givenUp {
+			return
+		}
 		served := p.serves == nil || p.serves()
 		if !served && (p.away == nil || r.foreign) {
 			err = errNoServer
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"reflect"
 	"sync"
+	"time"
 
 	"sorrelrudder/internal/gateway"
 )
@@ -18,6 +19,9 @@
 	cfg Config
 }
 
+// drainMost is the longest deadline after which the platform kills a process that was told to end, if settings give a longer one.
+const drainMost = 3 * time.Second
+
 // poolName is the name of the only pool.
 const poolName = "platform"
 
@@ -25,6 +29,7 @@
 func (c *Config) gatewayConfig() gateway.Config {
 	return gateway.Config{
 		Name: c.Name, MemoryMB: max(c.MemoryMB/c.processes(), gateway.LeastMemoryMB), Admin: c.Admin, FiguresEvery: c.Figures,
+		DrainMost:   drainMost,
 		Descriptors: max(c.Sockets/c.processes(), gateway.LeastDescriptors),
 		Listeners:   []gateway.Listener{{Name: c.Name, Address: c.Listen, FD: c.FD}},
 		Pools: []gateway.Pool{{
