Settings without a grace, window or ask time are told at the start; nothing fitted to a deployment, by test

A grace, a window or an ask time that is left out is taken to the safe side and told at the start; an ask time of 0 would have been calls without a pause. Negative and absurd ones are errors with key and value.

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
@@ -219,3 +220,56 @@
 		}
 	}
 }
+
+// TestFittedToNoDeployment guards against code that knows a deployment: no class, tenant, zone, tier or kind of machine of any
+// stands in what the sidecar and the adapter are built of. Names come from the settings alone.
+func TestFittedToNoDeployment(t *testing.T) {
+	names := []string{
+		"allocation-check", "delivery-order", "meter-booking", "clare-pump", "giru-office", "water-orders", "big-box", "small-box", "slow-box",
+		"terminal-config", "auth-check", "tip-adjust", "refund", "mtl-est", "mtl-ouest", "ledger", "vm-a", "vm-b", "vm-c",
+	}
+	files, err := filepath.Glob(filepath.Join("..", "..", "deploy", "sites", "*.toml"))
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	quoted := regexp.MustCompile(`(?m)^name = "([^"]+)"|"([a-z]+-[a-z]+)"`)
+	troubles := regexp.MustCompile(`(?s)\[\[trouble\]\].*`)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range quoted.FindAllStringSubmatch(troubles.ReplaceAllString(string(text), ""), -1) {
+			names = append(names, m[1]+m[2])
+		}
+	}
+	looked := 0
+	for _, p := range append(needs(t, "cairnpick"), needs(t, "adapter")...) {
+		dir, own := strings.CutPrefix(p, "sorrelrudder/")
+		if !own {
+			continue
+		}
+		sources, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range sources {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			looked++
+			for _, name := range names {
+				if bytes.Contains(text, []byte(`"`+name+`"`)) {
+					t.Errorf("%s knows %q of a deployment", file, name)
+				}
+			}
+		}
+	}
+	if looked < 20 || len(names) < 40 {
+		t.Errorf("looked for %d names in %d files: too few to be all", len(names), looked)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,7 @@
 	Config     policy.Config
 	Fields     []string      // names of the values in a load report, in their order
 	DrainGrace time.Duration // how long sends to a server may go on that drains or is gone; 0: not told
+	Assumed    []string      // what the settings leave out that the rules rest on, and what is taken for it
 }
 
 // object mirrors the keys that the module uses; others are skipped.
@@ -91,7 +92,32 @@
 	for _, t := range s.Tenants {
 		cfg.Tenants = append(cfg.Tenants, policy.Tenant{Name: t.Name, AllowancePer: t.AllowancePerS})
 	}
-	return Settings{Config: cfg, Fields: s.Telemetry.Fields, DrainGrace: Micros(s.Safety.DrainGraceUs)}, nil
+	out := Settings{Config: cfg, Fields: s.Telemetry.Fields, DrainGrace: Micros(s.Safety.DrainGraceUs)}
+	out.assume()
+	return out, nil
+}
+
+const (
+	// usualAskEvery is taken where the settings do not say for how long a list may be held on to.
+	usualAskEvery = 10 * time.Second
+	// mostTime bounds the times of the settings: beyond it a slip in the unit is likelier than a deployment.
+	mostTime = time.Hour
+)
+
+// assume takes what is safe under the rules for what the settings leave out.
+func (s *Settings) assume() {
+	if s.Config.AskEvery == 0 {
+		s.Config.AskEvery = usualAskEvery
+		s.Assumed = append(s.Assumed, fmt.Sprintf("Safety.AskEveryUs: %v", usualAskEvery))
+	}
+	if s.DrainGrace == 0 {
+		s.Assumed = append(s.Assumed, "Safety.DrainGraceUs: the shortest that is known")
+	}
+	for _, c := range s.Config.Classes {
+		if c.Effect == policy.Keyed && c.KeyTTL == 0 {
+			s.Assumed = append(s.Assumed, fmt.Sprintf("RequestClasses %q: KeyTtlUs: none, so that nothing is repeated that may have run", c.Name))
+		}
+	}
 }
 
 // validate guards against what the module would reject or misread, by the names that the operators use.
@@ -108,8 +134,8 @@
 			return fmt.Errorf("RequestClasses %q: AimUs is %d, not above 0", c.Name, c.AimUs)
 		case c.DeadlineUs < c.AimUs:
 			return fmt.Errorf("RequestClasses %q: DeadlineUs is %d, below AimUs", c.Name, c.DeadlineUs)
-		case c.KeyTtlUs < 0:
-			return fmt.Errorf("RequestClasses %q: KeyTtlUs is %d, below 0", c.Name, c.KeyTtlUs)
+		case c.KeyTtlUs < 0 || c.KeyTtlUs > (24*time.Hour).Microseconds():
+			return fmt.Errorf("RequestClasses %q: KeyTtlUs is %d, outside 0 to a day", c.Name, c.KeyTtlUs)
 		case c.Worth < 0:
 			return fmt.Errorf("RequestClasses %q: Worth is %v, below 0", c.Name, c.Worth)
 		}
@@ -140,6 +166,9 @@
 		if d.value < 0 {
 			return fmt.Errorf("%s is %d, below 0", d.key, d.value)
 		}
+		if d.value > mostTime.Microseconds() {
+			return fmt.Errorf("%s is %d, above an hour", d.key, d.value)
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,36 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const whole = `{"GroupSize":1,"Limits":{"SendCap":1},"Safety":{"AskEveryUs":2000000,"DrainGraceUs":300000},
+	"RequestClasses":[{"Name":"seat-hold","Effect":"idempotency_key","Group":"all","KeyTtlUs":400000,"AimUs":1000,"DeadlineUs":1000}]}`
+
+// TestTimesOfTheRules guards against times that the rules rest on and that are left out, negative or absurd: what is left out is
+// assumed to the safe side and told, what cannot be is an error that names key and value.
+func TestTimesOfTheRules(t *testing.T) {
+	s, err := Parse([]byte(whole))
+	if err != nil || s.DrainGrace != 300*time.Millisecond || s.Config.AskEvery != 2*time.Second || len(s.Assumed) > 0 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for text, want := range map[string]string{
+		`"AskEveryUs":2000000`:  "Safety.AskEveryUs",
+		`"DrainGraceUs":300000`: "Safety.DrainGraceUs",
+		`"KeyTtlUs":400000`:     "KeyTtlUs",
+	} {
+		s, err := Parse([]byte(strings.Replace(whole, text, `"Unused":0`, 1)))
+		if err != nil || len(s.Assumed) != 1 || !strings.Contains(s.Assumed[0], want) || s.Config.AskEvery <= 0 {
+			t.Errorf("without %s: %q, %v", want, s.Assumed, err)
+		}
+		key, _, _ := strings.Cut(text, ":")
+		for _, value := range []string{"-1", "999999999999"} {
+			_, err := Parse([]byte(strings.Replace(whole, text, key+":"+value, 1)))
+			if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), value) {
+				t.Errorf("%s of %s: %v, want an error that names both", want, value, err)
+			}
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,6 +41,9 @@
 
 // New makes a sidecar. It opens no socket for clients.
 func New(cfg Config, log *slog.Logger) (*Sidecar, error) {
+	for _, what := range cfg.Settings.Assumed {
+		log.Warn("the settings leave out", "what", what)
+	}
 	g, err := gateway.New(cfg.gatewayConfig(), log)
 	if err != nil {
 		return nil, err
