--- a/cmd/cairnpick/process_test.go
+++ b/cmd/cairnpick/process_test.go
@@ -221,7 +221,9 @@
 			write("127.0.0.1:1")
 			p := startProcess(t, path, 256)
 			addr := p.ready(t)
-			open, resting := dial(t, addr), dial(t, addr)
+			open, resting, slow := dial(t, addr), dial(t, addr), dial(t, addr)
+			half := len(get("slow")) / 2
+			io.WriteString(slow, get("slow")[:half])
 			io.WriteString(open, get("open"))
 			wait(t, "the request", came)
 			io.WriteString(resting, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -236,8 +238,10 @@
 			during := dial(t, addr)
 			io.WriteString(during, get("during"))
 			wait(t, "the other request", came)
+			io.WriteString(slow, get("slow")[half:])
+			wait(t, "the request that had half come", came)
 			close(release)
-			for id, c := range map[string]net.Conn{"open": open, "during": during} {
+			for id, c := range map[string]net.Conn{"open": open, "during": during, "slow": slow} {
 				if status, body := answerOn(t, c); status != 200 || body != id {
 					t.Errorf("%s: answered %d %q", id, status, body)
 				}
--- a/internal/pool/staleness_test.go
+++ b/internal/pool/staleness_test.go
@@ -142,6 +142,21 @@
 		first.Close()
 		within(t, "reset", time.Now(), nextCall(t, calls).at, staleness.Of(false, 0, cfg.DrainGrace).Again+busy)
 	})
+	t.Run("another address", func(t *testing.T) {
+		t.Parallel()
+		addr, calls := startDiscovery(t)
+		p := startAsking(t, cfg, addr, nil)
+		nextCall(t, calls).answer(t, oneServer) // its watch stands as the address changes
+		next, moved := startDiscovery(t)
+		began := time.Now()
+		bound := staleness.Of(false, cfg.Config.AskEvery, cfg.DrainGrace)
+		p.SetSource(source.Discovery{Addr: next, Bound: bound})
+		nextCall(t, moved).answer(t, oneServer)
+		within(t, "since it moved", began, time.Now(), bound.Again+busy)
+		if len(calls) > 0 {
+			t.Error("the old address was asked again")
+		}
+	})
 	t.Run("an agent that is silent", func(t *testing.T) {
 		t.Parallel()
 		pushed := cfg
