--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -559,9 +559,9 @@
 
 // Evict dismisses a connection without a whole request to make room for another, and reports whether there was one. It
 // guards against clients that hold descriptors for nothing, whatever their reason. In turn: one that has had its last answer, and
-// nothing has come behind it; the oldest that never sent anything; one whose request does not come on; of the one worth least to the rule of the pool that has most beyond its part,
-// which would have asked again and then connects anew, and the oldest of those that have just come, the one worth less; one of
-// a pool that is within its part.
+// nothing has come behind it; the oldest that never sent anything; one whose request does not come on; of the one worth least to
+// the rule of the pool that has most beyond its part, which would have asked again and then connects anew, and the oldest of those
+// that have just come, the one worth less; one of a pool that is within its part.
 func (s *Server) Evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/pool/staleness_test.go
+++ b/internal/pool/staleness_test.go
@@ -157,6 +157,48 @@
 			t.Error("the old address was asked again")
 		}
 	})
+	t.Run("another address that is silent", func(t *testing.T) {
+		t.Parallel()
+		addr, calls := startDiscovery(t)
+		p := startAsking(t, cfg, addr, nil)
+		first := nextCall(t, calls)
+		first.answer(t, oneServer)
+		next, moved := startDiscovery(t)
+		bound := staleness.Of(false, cfg.Config.AskEvery, cfg.DrainGrace)
+		began := time.Now()
+		first.Close() // the old watch ends in the same instant
+		p.SetSource(source.Discovery{Addr: next, Bound: bound})
+		mute := nextCall(t, moved)
+		within(t, "since it moved", began, mute.at, bound.Again+busy)
+		within(t, "never answered", mute.at, nextCall(t, moved).at, bound.AfterMute()+busy)
+	})
+	t.Run("another address that refuses", func(t *testing.T) {
+		t.Parallel()
+		addr, calls := startDiscovery(t)
+		p := startAsking(t, cfg, addr, nil)
+		nextCall(t, calls).answer(t, oneServer)
+		reserved, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		reserved.Close() // nobody is there yet
+		bound := staleness.Of(false, cfg.Config.AskEvery, cfg.DrainGrace)
+		p.SetSource(source.Discovery{Addr: reserved.Addr().String(), Bound: bound})
+		time.Sleep(4 * bound.Pause) // some calls are refused meanwhile; more makes no difference
+		back, err := net.Listen("tcp", reserved.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer back.Close()
+		began := time.Now()
+		back.(*net.TCPListener).SetDeadline(began.Add(30 * time.Second))
+		c, err := back.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		within(t, "since it is there", began, time.Now(), bound.AfterRefusal()+busy)
+	})
 	t.Run("an agent that is silent", func(t *testing.T) {
 		t.Parallel()
 		pushed := cfg
--- a/internal/pool/take.go
+++ b/internal/pool/take.go
@@ -91,8 +91,8 @@
 		return nil, message.Bad{Status: http.StatusBadRequest, Text: "a body where the class has none"}
 	}
 	r := &request{
-		name: ask.name, foreign: ask.foreign, method: q.Method, uri: q.URI, host: q.Host, header: message.Forwarded(q.Header), body: q.Body, rest: q.Rest, free: free, left: q.Left,
-		answer: make(chan message.Answer, 1),
+		name: ask.name, foreign: ask.foreign, method: q.Method, uri: q.URI, host: q.Host, header: message.Forwarded(q.Header),
+		body: q.Body, rest: q.Rest, free: free, left: q.Left, answer: make(chan message.Answer, 1),
 	}
 	if err := p.take(r, ask.event, ask.timeout); err != nil {
 		return nil, err
