A first call that could be answered too late is made at once, where the settings' ask time is short

Spread over six tenths of AskEvery a first call may be answered after AskEvery where that is under 8 s, and after the grace where lists are pushed. Property in TestBudgetAddsUp.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -205,7 +205,7 @@
 	}
 	p.event(func(now policy.Time) {
 		p.members(now, policy.ListCached, known)
-		if len(p.peers) == 0 { // nothing is known that requests could go to: they wait for the source
+		if len(p.peers) == 0 || bound.AskSoon() { // what is known is nothing that requests could go to, or cannot be held on to
 			p.balancer.Members(now, policy.ListLost, nil, p)
 		}
 	})
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -49,6 +49,20 @@
 	return Bound{Silence: Beat + time.Second, Call: call, Again: call / 2, Pause: call, AskEvery: call}
 }
 
+// firstSpread is the part of AskEvery over which the module spreads a group's first calls.
+const firstSpread = 0.6
+
+// AskSoon reports whether the first call, made within that part, could be answered too late: then it is made at once.
+func (b Bound) AskSoon() bool { return b.Call > time.Duration((1-firstSpread)*float64(b.AskEvery)) }
+
+// AfterStart is from the start of a process to the answer of its first call, at worst.
+func (b Bound) AfterStart() time.Duration {
+	if b.AskSoon() {
+		return b.Again + b.Call
+	}
+	return time.Duration(firstSpread*float64(b.AskEvery)) + b.Call
+}
+
 // The worst that each way of missing a change takes until the call that hears of it: what is left of the term and the grace is
 // for the answer.
 
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -30,6 +30,15 @@
 		if left := Told + grace - b.AfterSilence(); left < 2*time.Second {
 			t.Errorf("pushed %v, grace %v: a silent watch leaves %v for the answer", pushed, grace, left)
 		}
+		// A process that has just started may hold on to the list that it was given for as long as the settings say and the grace, or
+		// for the grace alone if it is pushed. Where that is less than one call may take, the call is made at once.
+		start := ask + grace
+		if pushed {
+			start = grace
+		}
+		if start = max(start, b.Again+b.Call); b.AfterStart() > start {
+			t.Errorf("pushed %v, asks every %v, grace %v: the first answer comes after %v, want %v", pushed, ask, grace, b.AfterStart(), start)
+		}
 		if b.Silence <= Beat {
 			t.Errorf("a watch is taken for silent after %v, while it may say nothing for %v", b.Silence, Beat)
 		}
