A test's clients come again where they were closed to make room

TestClientLeftBeforeItWasRead waited for ever in about one of 20 runs: a connection that had just come may be closed to make room before its request is read, and clients come again then.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -764,10 +764,25 @@
 	s := start(t, config(t, "127.0.0.1:1", sockets, listOf(t, u)))
 	var busy []*client
 	for i := range int(proc.ClientMost(sockets)) { // as many as clients may hold
-		c := s.dial(t)
-		io.WriteString(c, get("busy"+strconv.Itoa(i)))
+		var c *client
+		waitFor(t, "a request to be taken", func() bool {
+			if c == nil { // also where one that had just come was closed to make room before it was read: it comes again
+				c = s.dial(t)
+				io.WriteString(c, get("busy"+strconv.Itoa(i)))
+			}
+			select {
+			case <-u.seen:
+				return true
+			case <-time.After(10 * time.Millisecond):
+			}
+			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			if _, err := c.r.Peek(1); err != nil && !os.IsTimeout(err) {
+				c = nil
+			}
+			return false
+		})
+		c.SetReadDeadline(time.Now().Add(patience))
 		busy = append(busy, c)
-		<-u.seen
 	}
 	for i := range 3 {
 		c := s.dial(t)
