A long answer's test asks anew with another id where its first request was refused

TestLongAnswerBreaksOff asked with the same id until its time was up: once a busy machine had a request refused, each further one was a conflict, and connections ran out.

--- a/internal/sidecar/long_test.go
+++ b/internal/sidecar/long_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -139,9 +140,9 @@
 				})
 				s := start(t, config(t, "127.0.0.1:1", 256, listOf(t, u)))
 				var err error
-				for until := time.Now().Add(patience); ; { // on a busy machine a request may be refused first
+				for i, until := 0, time.Now().Add(patience); ; i++ { // on a busy machine a request may be refused first, and comes again anew
 					c := s.dial(t)
-					io.WriteString(c, strings.Replace(get("a"), "HTTP/1.1", version, 1))
+					io.WriteString(c, strings.Replace(get("a"+strconv.Itoa(i)), "HTTP/1.1", version, 1))
 					var resp *http.Response
 					if resp, err = http.ReadResponse(c.r, nil); err == nil {
 						_, err = io.Copy(io.Discard, resp.Body)
