--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,6 @@
 	"sorrelrudder/internal/route"
 	"sorrelrudder/internal/share"
 	"sorrelrudder/internal/source"
-	"sorrelrudder/internal/staleness"
 	"sorrelrudder/internal/upstream"
 	"sorrelrudder/policy"
 )
@@ -349,8 +348,7 @@
 
 // discovery is where the list of p comes from.
 func (p *Pool) discovery() source.Source {
-	module := p.Settings.Config
-	return source.Discovery{Addr: p.Discovery, Bound: staleness.Of(module.Pushed, module.AskEvery, p.Settings.DrainGrace)}
+	return source.Discovery{Addr: p.Discovery, Bound: p.Settings.ListBound()}
 }
 
 // setSource takes over where the list of a pool that stays comes from.
--- a/internal/pool/begins_test.go
+++ b/internal/pool/begins_test.go
@@ -234,10 +234,16 @@
 
 // awaitEmpty returns once all requests have ended and their attempts are back.
 func (x *crossing) awaitEmpty(t *testing.T) {
+	t.Helper()
+	x.awaitRequests(t, 0)
+}
+
+// awaitRequests returns once so many of them are left at most.
+func (x *crossing) awaitRequests(t *testing.T, most int) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
 		n, _, _ := x.Load()
-		if n == 0 {
+		if n <= most {
 			return
 		}
 		if time.Now().After(end) {
@@ -270,17 +276,7 @@
 		t.Errorf("a further one was taken, or turned away with %v", err)
 	}
 	close(d.up)
-	waitFor := time.Now().Add(20 * time.Second)
-	for { // the attempts of the first still wait for an answer, and end with the pool
-		n, _, _ := x.Load()
-		if n <= 1 {
-			break
-		}
-		if time.Now().After(waitFor) {
-			t.Fatalf("%d requests are kept", n)
-		}
-		time.Sleep(time.Millisecond)
-	}
+	x.awaitRequests(t, 1) // the attempt of the first still waits for an answer, and ends with the pool
 	if len(x.sent) > 0 {
 		t.Error("one was sent after it was given up")
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,7 +19,6 @@
 	"sorrelrudder/internal/message"
 	"sorrelrudder/internal/settings"
 	"sorrelrudder/internal/source"
-	"sorrelrudder/internal/staleness"
 	"sorrelrudder/internal/tally"
 	"sorrelrudder/internal/upstream"
 	"sorrelrudder/policy"
@@ -166,7 +165,7 @@
 func New(cfg Config, up *upstream.Conns, log *slog.Logger) (*Pool, error) {
 	module := cfg.Settings.Config
 	// On sockets the agent that has what was pushed must be asked too.
-	bound := staleness.Of(module.Pushed, module.AskEvery, cfg.Settings.DrainGrace)
+	bound := cfg.Settings.ListBound()
 	module.Pushed, module.AskEvery, module.AskPause, module.AskAgain = false, bound.AskEvery, bound.Pause, bound.Again
 	b, err := policy.New(module, cfg.Seed)
 	if err != nil {
--- a/internal/pool/staleness_test.go
+++ b/internal/pool/staleness_test.go
@@ -68,8 +68,7 @@
 // startAsking starts a pool that asks discovery at addr, and knows the list given.
 func startAsking(t *testing.T, cfg settings.Settings, addr string, known *source.List) *Pool {
 	t.Helper()
-	bound := staleness.Of(cfg.Config.Pushed, cfg.Config.AskEvery, cfg.DrainGrace)
-	p, err := New(Config{Settings: cfg, Source: source.Discovery{Addr: addr, Bound: bound}, Known: known},
+	p, err := New(Config{Settings: cfg, Source: source.Discovery{Addr: addr, Bound: cfg.ListBound()}, Known: known},
 		upstream.New(cfg.Config, proc.NewDescriptors(64).Pool(1)), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"sorrelrudder/internal/staleness"
 	"sorrelrudder/policy"
 )
 
@@ -120,6 +121,11 @@
 	}
 }
 
+// ListBound is how old the list of servers may get by these settings.
+func (s *Settings) ListBound() staleness.Bound {
+	return staleness.Of(s.Config.Pushed, s.Config.AskEvery, s.DrainGrace)
+}
+
 // validate guards against what the module would reject or misread, by the names that the operators use.
 func (s *object) validate() error {
 	for _, c := range s.RequestClasses {
