A pool that a reload has retired gives up its requests before the kill, too

Seen by reading, forced in TestGivenUpBeforeTheKill/retired: servers hang, a reload takes their pool out, SIGTERM follows. Run (gateway.go) went over the pools in force alone, both for the longest deadline and for GiveUp, so the retired pool's requests were closed with no answer (unexpected EOF, twice). Ruled out: the pool's own Close, which comes after the connections' end. Change: one list of the pools that owe answers serves both. The test fails without it; package passes twice with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -81,7 +82,8 @@
 	shares    sync.Mutex
 	admission *share.Admission
 	pacer     *share.Pacer
-	conns     share.Pot // connections of clients; those that have brought no request are nobody's
+	conns     share.Pot            // connections of clients; those that have brought no request are nobody's
+	retired   map[*member]struct{} // by a reload, and not yet closed
 }
 
 // nobody owns the connections that have brought no request yet. No pool has this key.
@@ -125,7 +127,7 @@
 func NewSpeaking(cfg Config, log *slog.Logger, x Extension, sp Speech) (*Gateway, error) {
 	g := &Gateway{
 		log: log, origin: time.Now().Add(-time.Hour), descriptors: proc.NewDescriptors(cfg.Descriptors),
-		several: make(chan struct{}), listeners: map[Listener]*listening{},
+		several: make(chan struct{}), listeners: map[Listener]*listening{}, retired: map[*member]struct{}{},
 		admission: share.NewAdmission(0, 0), pacer: share.NewPacer(), conns: share.NewPot(0),
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
@@ -402,6 +404,7 @@
 	g.admission.Drop(m.key)
 	g.conns.Drop(m.key)
 	g.pacer.Drop(m.key)
+	g.retired[m] = struct{}{}
 	g.shares.Unlock()
 	g.descriptors.Claim(m.key, share.Claim{Max: share.NoLimit})
 	g.log.Info("pool drains", "pool", m.cfg.Name, "load", m.pool.String())
@@ -411,6 +414,9 @@
 		ctx, cancel := context.WithTimeout(g.ctx, m.pool.Longest()+drainSlack)
 		defer cancel()
 		err := g.awaitEmpty(ctx, m)
+		g.shares.Lock()
+		delete(g.retired, m)
+		g.shares.Unlock()
 		m.pool.Close()
 		g.descriptors.Drop(m.key)
 		g.log.Info("pool removed", "pool", m.cfg.Name, "err", err)
@@ -550,7 +556,7 @@
 	g.applying.Lock()
 	g.stopped = true
 	longest := time.Duration(0)
-	for _, m := range g.table.Load().pools {
+	for _, m := range g.owing() {
 		longest = max(longest, m.pool.Longest())
 	}
 	if g.cfg.DrainMost > 0 {
@@ -559,7 +565,7 @@
 	end, cancel := context.WithTimeout(context.Background(), drainWindow+longest+drainSlack)
 	defer cancel()
 	defer time.AfterFunc(drainWindow+longest, func() {
-		for _, m := range g.table.Load().pools {
+		for _, m := range g.owing() {
 			m.pool.GiveUp()
 		}
 	}).Stop()
@@ -595,6 +601,13 @@
 	return nil
 }
 
+// owing is the pools that may have requests open: those in force, and those that a reload has retired.
+func (g *Gateway) owing() []*member {
+	g.shares.Lock()
+	defer g.shares.Unlock()
+	return slices.AppendSeq(slices.Collect(maps.Keys(g.retired)), maps.Values(g.table.Load().pools))
+}
+
 // yields reports whether clients reach another process where they reached this one, so that no connection need be closed on
 // them at once. The caller holds applying.
 func (g *Gateway) yields() bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -749,13 +749,19 @@
 }
 
 // TestGivenUpBeforeTheKill guards against requests that are taken and find no answer before the process is killed: every server
-// hangs, and the deadlines are longer than the platform waits.
+// hangs, and the deadlines are longer than the platform waits. A pool that a reload has just retired owes its answers, too.
 func TestGivenUpBeforeTheKill(t *testing.T) {
+	t.Run("in force", func(t *testing.T) { givenUp(t, false) })
+	t.Run("retired", func(t *testing.T) { givenUp(t, true) })
+}
+
+func givenUp(t *testing.T, retired bool) {
 	s := newSite(t)
 	s.cfg.DrainMost = 300 * time.Millisecond
 	hangs := s.box("hangs", func(c *standin.BoxConfig) { c.Cores = 100 })
 	hangs.SetFault(standin.Fault{Kind: standin.Silent, Share: 1})
 	s.pool("orders", hangs)
+	s.pool("meters", s.box("b", nil))
 	s.start()
 	type answered struct {
 		status int
@@ -777,6 +783,13 @@
 		}()
 	}
 	waitFor(t, "both to be taken", func() bool { return s.g.Load().Requests == len(asked) })
+	if retired {
+		next := s.copyConfig()
+		next.Pools, next.Routes = next.Pools[1:], next.Routes[1:]
+		if err := s.g.Apply(next); err != nil {
+			t.Fatal(err)
+		}
+	}
 	began := time.Now()
 	ended := make(chan struct{})
 	go func() {
