A client that leaves behind much is seen; an end under an answer without length is a reset

Seen by reading, each forced in a test that fails without the mend. 1. watch (request.go) ended once 2 kB stood unread behind a request: a client that had sent more and left was never seen to, and its request went on to its deadline (TestClientLeavesBehindBytes, two new cases). Beyond the buffer the socket is looked at. 2. Server.Wait closed in order what was still open at the process's end. Where an answer's end is that of the connection (HTTP/1.0, no length) a part seemed whole (TestEndUnderALongAnswer). Such a connection is reset. Ruled out: chunked answers and those with a length, whose clients can tell.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sorrelrudder/internal/message"
+	"sorrelrudder/internal/proc"
 )
 
 const (
@@ -22,6 +23,8 @@
 	mostClientHead = 16 << 10
 	// clientBuffer is the size of a client connection's buffer: most requests fit.
 	clientBuffer = 2 << 10
+	// endedLook is how often it is looked whether a client has left that has written on for more than that.
+	endedLook = 20 * time.Millisecond
 )
 
 var (
@@ -248,9 +251,9 @@
 	return len(name) > 0
 }
 
-// watch waits for the client to close while its request is open, whatever it writes on meanwhile, as far as that has room. It
-// returns a channel that is closed when the client has, or once there is no more room.
-func (r *requestReader) watch() <-chan struct{} {
+// watch waits for the client to close while its request is open, whatever it writes on meanwhile: as far as that has room it is read
+// ahead, and beyond it the socket is looked at. It returns a channel that is closed when the client has closed, or once over is.
+func (r *requestReader) watch(c net.Conn, over <-chan struct{}) <-chan struct{} {
 	gone := make(chan struct{})
 	go func() {
 		defer close(gone)
@@ -258,14 +261,28 @@
 		for err == nil {
 			_, err = r.r.Peek(r.r.Buffered() + 1)
 		}
-		r.left.Store(err != bufio.ErrBufferFull && !errors.Is(err, os.ErrDeadlineExceeded))
+		switch {
+		case err == bufio.ErrBufferFull:
+			r.left.Store(awaitEnd(c, over))
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			r.left.Store(true)
+		}
 	}()
 	return gone
 }
 
-// unwatch ends the wait of watch, and reports whether the client is still there.
-func (r *requestReader) unwatch(c net.Conn, gone <-chan struct{}) bool {
-	c.SetReadDeadline(time.Unix(1, 0))
-	<-gone
-	return !r.left.Load()
+// awaitEnd looks at c until its other side has ended, which it reports, or over is closed.
+func awaitEnd(c net.Conn, over <-chan struct{}) (ended bool) {
+	tick := time.NewTicker(endedLook)
+	defer tick.Stop()
+	for {
+		if proc.Ended(c) {
+			return true
+		}
+		select {
+		case <-over:
+			return false
+		case <-tick.C:
+		}
+	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -182,6 +182,7 @@
 	place  *lists.Element // Server.mu: nil while a request is open
 	ending bool           // Server.mu: makes room, and is counted in Server.ending
 	drain  chan struct{}  // Server.mu: of a connection that carries several requests; closed to end it
+	unsure bool           // Server.mu: an answer is on its way whose end is that of the connection
 	since  time.Time      // Server.mu: in that list since then
 	uses   int            // Server.mu: answers on it
 	rests  bool           // Server.mu: the rule has let it wait and is owed how that ended
@@ -768,7 +769,11 @@
 	}
 	s.mu.Lock()
 	for c := range s.conns {
-		c.Conn.Close()
+		if c.unsure {
+			c.abort()
+		} else {
+			c.Conn.Close()
+		}
 	}
 	s.mu.Unlock()
 	return ctx.Err()
@@ -871,7 +876,8 @@
 		return ans, true
 	case <-c.early.C:
 	}
-	gone := c.reader.watch()
+	over := make(chan struct{})
+	gone := c.reader.watch(c.Conn, over)
 	select {
 	case ans = <-x.Answer():
 	case <-gone:
@@ -880,7 +886,10 @@
 		}
 		ans = <-x.Answer()
 	}
-	return ans, c.reader.unwatch(c, gone)
+	close(over)
+	c.SetReadDeadline(time.Unix(1, 0))
+	<-gone
+	return ans, !c.reader.left.Load()
 }
 
 // turnAway answers a request that is not taken.
@@ -946,7 +955,9 @@
 	if ans.Rest != nil {
 		b = bytes.Buffer{} // it may take long
 		if err == nil {
+			s.setUnsure(c, length < 0 && !chunked)
 			err = c.writeRest(ans.Rest, chunked)
+			s.setUnsure(c, false)
 		}
 		ans.Rest.Close(err == nil)
 		if err != nil && length < 0 {
@@ -957,6 +968,14 @@
 	return err == nil && !last
 }
 
+// setUnsure notes whether an end of c would seem to be that of its answer. It guards against a server that ends while one is on its
+// way, and whose client takes a part for the whole.
+func (s *Server) setUnsure(c *clientConn, is bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.unsure = is
+}
+
 // abort makes the end of c a reset.
 func (c *clientConn) abort() {
 	raw := c.Conn
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -561,6 +561,8 @@
 		"another request with it":    {q + q, ""},
 		"another request later":      {q, q},
 		"several, piece after piece": {q + q, q + q + q},
+		"more than is held, with it": {q + strings.Repeat(q, 2*clientBuffer/len(q)), ""},
+		"more than is held, later":   {q, strings.Repeat(q, 2*clientBuffer/len(q))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &heldHandler{echoHandler{conns: map[Owner]int{}}, make(chan heldExchange, 8)}
@@ -576,6 +578,7 @@
 			select {
 			case <-x.withdrawn:
 			case <-time.After(patience):
+				x.answer <- message.Answer{Status: 200} // or the server would not end
 				t.Fatal("it was not seen to leave")
 			}
 			if !x.q.Left() {
@@ -612,3 +615,60 @@
 		})
 	}
 }
+
+// restHandler answers each request with the first of a long answer, whose rest never ends by itself.
+type restHandler struct{ echoHandler }
+
+func (h *restHandler) Admit(*message.Request) (Admission, Owner, error) {
+	return restAdmission{}, 'r', nil
+}
+
+type restAdmission struct{}
+
+func (restAdmission) Take([]byte, message.Rest) (Exchange, error) { return restExchange{}, nil }
+func (restAdmission) Release()                                    {}
+
+type restExchange struct{}
+
+func (restExchange) Answer() <-chan message.Answer {
+	c := make(chan message.Answer, 1)
+	c <- message.Answer{Status: 200, Body: []byte("first"), Rest: &endlessRest{closed: make(chan struct{})}}
+	return c
+}
+func (restExchange) Withdraw() bool { return false }
+
+// endlessRest brings a byte now and then.
+type endlessRest struct{ closed chan struct{} }
+
+func (*endlessRest) Length() int64 { return -1 }
+func (r *endlessRest) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	p[0] = '.'
+	return 1, nil
+}
+func (r *endlessRest) Close(bool) { close(r.closed) }
+
+// TestEndUnderALongAnswer guards against a part of an answer that seems whole, because the server ended under it: to a client that
+// knows no chunks, the end of the connection is that of the answer.
+func TestEndUnderALongAnswer(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run("HTTP/"+version, func(t *testing.T) {
+			s := startWith(t, &restHandler{echoHandler{conns: map[Owner]int{}}}, 64, nil)
+			client := s.dial(t)
+			io.WriteString(client, "GET /c HTTP/"+version+"\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n")
+			resp, err := http.ReadResponse(client.r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(resp.Body, make([]byte, len("first...."))); err != nil { // some of the rest has come
+				t.Fatal(err)
+			}
+			ended, end := context.WithCancel(context.Background())
+			end()
+			s.Wait(ended)
+			if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+				t.Errorf("the answer ends in order %d bytes later", n)
+			}
+		})
+	}
+}
