A server that the list named as started again is held back no more at later steps of a return

Seen by reading, forced in TestReturned: Avoid (hearsay.go) takes servers of a zone that is returned to for started now unless it has noted them as returned; one that was used again early, since the list named another start, was not noted, so each process took it for cold anew at the zone's next step (1.2069 s in place of 1.206 in the test; on a ramp, its whole). Change: whoever was avoided is noted, with the list's start where that is why. Ruled out: the emulator's twin, which has no servers of returning.

--- a/internal/pool/hearsay.go
+++ b/internal/pool/hearsay.go
@@ -133,15 +133,18 @@
 		var changed []policy.Server
 		for id, e := range p.entries {
 			_, had := p.returned[string(id)]
-			back := !servers[string(id)] && (!used[id] && before[string(id)] || returning[string(id)] && !had && !before[string(id)])
+			since, back := policy.Time(0), false // 0: as the list has it
 			switch {
-			case back && p.settings.Config.Ramp > 0:
-				if p.returned == nil {
-					p.returned = map[string]policy.Time{}
-				}
-				p.returned[string(id)] = max(now, 1)
 			case servers[string(id)]:
 				delete(p.returned, string(id))
+			case before[string(id)]:
+				if back = !used[id]; back {
+					since = max(now, 1)
+				}
+				p.setReturned(string(id), since)
+			case returning[string(id)] && !had:
+				back = true
+				p.setReturned(string(id), max(now, 1))
 			}
 			if back || before[string(id)] != servers[string(id)] {
 				changed = append(changed, p.listed(e))
@@ -154,6 +157,17 @@
 	return done
 }
 
+// setReturned notes since when a server is used again. The caller holds mu.
+func (p *Pool) setReturned(id string, since policy.Time) {
+	if p.settings.Config.Ramp <= 0 {
+		return
+	}
+	if p.returned == nil {
+		p.returned = map[string]policy.Time{}
+	}
+	p.returned[id] = since
+}
+
 // listed is what the module is told of an entry of the list.
 func (p *Pool) listed(e source.Entry) policy.Server {
 	s := policy.Server{
@@ -162,7 +176,7 @@
 	if s.State == policy.Ready && p.avoided[e.Host] && !(p.soft[e.Host] && e.BornMs != p.leftBorn[e.Host]) {
 		s.State = policy.Draining
 	}
-	if at, is := p.returned[e.Host]; is && (s.Started == 0 || s.Started < at) {
+	if at := p.returned[e.Host]; at > max(0, s.Started) {
 		s.Started = at
 	}
 	return s
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -133,7 +133,7 @@
 	soft      map[string]bool          // of those the ones that are used again once the list names another start
 	met       map[policy.ServerID]bool // servers that the list had as orders were given last
 	leftBorn  map[string]int64         // of those that are avoided: their start as the list had it then, in Unix milliseconds
-	returned  map[string]policy.Time   // servers that were avoided, and since when they are not
+	returned  map[string]policy.Time   // servers that were avoided, and since when they are not; 0: as the list has their start
 }
 
 // request is one request of a client, from its last byte until all its attempts are back.
--- a/internal/pool/returned_test.go
+++ b/internal/pool/returned_test.go
@@ -79,4 +79,15 @@
 	if got := told("c"); got.State != policy.Draining {
 		t.Errorf("avoided by an operator, and told as %+v", got)
 	}
+	// As the return goes on it stays what the list has made of it: each step would else hold it back anew.
+	want := p.started(l.Hosts[1].BornMs)
+	for p.now() <= want {
+		time.Sleep(time.Millisecond)
+	}
+	for range 2 {
+		p.Avoid(only("c"), only("b"), nil)
+		if got := told("b").Started; got != want {
+			t.Errorf("as its zone is returned to it counts as started at %v, want %v, as the list says", got, want)
+		}
+	}
 }
