A zone that is wholly in use again stays cold for a ramp, for processes that start meanwhile

Forced in TestStartedWhileAZoneIsCold with three processes, which fails without zonal's line (20 s in vain). Change: the last step is decided as cold (evacuate.State), and a decision of its own, a ramp later, takes that back; a relapse still counts from the last step, a new decider waits a whole ramp.

--- a/cmd/sorrelrudder/tier.go
+++ b/cmd/sorrelrudder/tier.go
@@ -436,6 +436,9 @@
 			if z.Pinned {
 				step += ", pinned"
 			}
+			if z.Cold {
+				step += ", cold"
+			}
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\n", z.Pool, z.Zone, z.Servers, z.Avoided, z.Epoch, step, z.Falls, z.Why, z.Cause)
 		}
 		return w.Flush()
--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -28,6 +28,7 @@
 	Most   time.Duration // and never longer
 	Grey   bool          // a zone that fails in part is left, too
 	Looks  int           // members that must find the zone silent before it is left, and to answer before the return begins
+	Warm   time.Duration // how long servers are cold at most: so long after its last step a zone counts as returned to; 0: not at all
 }
 
 // Usual are figures for zones of some servers each.
@@ -48,6 +49,8 @@
 		return fmt.Errorf("a step of %v, a hold of %v and of %v at most: all above 0, and the last the longest", r.Step, r.Hold, r.Most)
 	case r.Looks < 1:
 		return fmt.Errorf("%d members have to look, below 1", r.Looks)
+	case r.Warm < 0:
+		return fmt.Errorf("servers are cold for %v, below 0", r.Warm)
 	}
 	return nil
 }
@@ -55,6 +58,9 @@
 // parts are the shares of a zone's servers that are in use, step by step of a return.
 var parts = []float64{0, 0.1, 0.25, 0.5, 1}
 
+// Returning reports whether a zone's servers in use may be cold, though no list says so: nobody has sent them anything for a while.
+func (s State) Returning() bool { return s.Step < Steps || s.Cold }
+
 // Part is the share of a zone's servers that are in use at a step.
 func Part(step int) float64 { return parts[min(max(step, 0), Steps)] }
 
@@ -66,12 +72,20 @@
 	Step   int  `json:"step"`             // 0: left, to Steps: in use
 	Pinned bool `json:"pinned,omitempty"` // by an operator: nothing is decided of it by itself
 	Falls  int  `json:"falls,omitempty"`  // relapses in a row
+	Cold   bool `json:"cold,omitempty"`   // wholly in use, and not yet for as long as its servers may be cold: a process that starts now cannot know
 	Why    string
 }
 
+// coldMark stands behind the step of a state that is Cold. Who does not know it takes the zone for one of which nothing is decided.
+const coldMark = "c"
+
 // Encode writes a state as the council's log has it.
 func (s State) Encode() string {
-	return fmt.Sprintf("%d %t %d %s", s.Step, s.Pinned, s.Falls, s.Why)
+	mark := ""
+	if s.Cold {
+		mark = coldMark
+	}
+	return fmt.Sprintf("%d%s %t %d %s", s.Step, mark, s.Pinned, s.Falls, s.Why)
 }
 
 // Decode reads one.
@@ -80,12 +94,14 @@
 	if len(fields) < 3 {
 		return s, fmt.Errorf("evacuate: %q is no state of a zone", text)
 	}
-	if s.Step, err = strconv.Atoi(fields[0]); err == nil {
+	step, cold := strings.CutSuffix(fields[0], coldMark)
+	s.Cold = cold
+	if s.Step, err = strconv.Atoi(step); err == nil {
 		if s.Pinned, err = strconv.ParseBool(fields[1]); err == nil {
 			s.Falls, err = strconv.Atoi(fields[2])
 		}
 	}
-	if err != nil || s.Step < 0 || s.Step > Steps || s.Falls < 0 {
+	if err != nil || s.Step < 0 || s.Step > Steps || s.Falls < 0 || s.Cold && s.Step < Steps {
 		return State{}, fmt.Errorf("evacuate: %q is no state of a zone", text)
 	}
 	if len(fields) == 4 {
@@ -382,9 +398,12 @@
 			d = State{Step: Steps}
 		}
 		// By the epoch too: a step that came and went between two looks has been carried out by others.
-		if was, had := k.seen[zone]; !had || was.Step != d.Step || was.Falls != d.Falls || k.epoch[zone] != s.Epochs[zone] {
-			k.seen[zone], k.since[zone], k.epoch[zone] = d, now, s.Epochs[zone]
+		was, had := k.seen[zone]
+		settled := had && was.Cold && was.Step == d.Step && !d.Cold // no step
+		if !had || was.Step != d.Step || was.Falls != d.Falls || k.epoch[zone] != s.Epochs[zone] && !settled {
+			k.since[zone] = now
 		}
+		k.seen[zone], k.epoch[zone] = d, s.Epochs[zone]
 		if d.Pinned || change != nil {
 			continue
 		}
@@ -398,7 +417,10 @@
 			change = &Change{zone, State{Step: 1, Falls: d.Falls, Why: "it answers again"}}
 		case d.Step > 0 && d.Step < Steps && waited >= k.rules.Step && k.answers(s, zone):
 			next := State{Step: d.Step + 1, Falls: d.Falls, Why: "a step was borne"}
+			next.Cold = next.Step == Steps && k.rules.Warm > 0
 			change = &Change{zone, next}
+		case d.Cold && waited >= k.rules.Warm:
+			change = &Change{zone, State{Step: Steps, Falls: d.Falls, Why: "its servers are warm"}}
 		}
 	}
 	return change, causes
--- a/internal/evacuate/evacuate_test.go
+++ b/internal/evacuate/evacuate_test.go
@@ -237,12 +237,16 @@
 
 func TestStateText(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := State{rapid.IntRange(0, Steps).Draw(t, "step"), rapid.Bool().Draw(t, "pinned"), rapid.IntRange(0, 9).Draw(t, "falls"), rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "why")}
+		s := State{
+			Step: rapid.IntRange(0, Steps).Draw(t, "step"), Pinned: rapid.Bool().Draw(t, "pinned"), Falls: rapid.IntRange(0, 9).Draw(t, "falls"),
+			Why: rapid.StringMatching(`[a-z ]{0,20}`).Draw(t, "why"),
+		}
+		s.Cold = s.Step == Steps && rapid.Bool().Draw(t, "cold")
 		if got, err := Decode(s.Encode()); err != nil || got != s {
 			t.Fatalf("%+v, %v", got, err)
 		}
 	})
-	for _, bad := range []string{"", "1", "9 true 0", "1 perhaps 0", "-1 true 0", "1 true -2"} {
+	for _, bad := range []string{"", "1", "9 true 0", "1 perhaps 0", "-1 true 0", "1 true -2", "1c true 0", "c true 0", "4cc true 0"} {
 		if _, err := Decode(bad); err == nil {
 			t.Errorf("%q is read", bad)
 		}
@@ -271,3 +275,58 @@
 		t.Error("never again")
 	}
 }
+
+// TestWarmAgain: after its last step a zone counts as returned to only once its servers have had the time to warm up: a process that starts before
+// has to be told. That is no step: a zone that is left again soon after has not been well meanwhile.
+func TestWarmAgain(t *testing.T) {
+	r := Usual()
+	r.Warm = 8 * time.Second
+	k := NewKeeper(r)
+	s := Scene{
+		Servers: []Server{{"a1", "a"}, {"b1", "b"}, {"c1", "c"}}, Zones: map[string]string{"p": "a", "q": "b", "s": "c"}, Members: 3,
+		Looks: []Look{{"p", "b", true, false}, {"s", "b", true, false}}, Decided: map[string]State{"b": {Step: Steps - 1, Falls: 1}}, Epochs: map[string]uint64{"b": 1},
+	}
+	now := time.Duration(0)
+	next := func(later time.Duration) *Change {
+		now += later
+		c, _ := k.Next(now, s)
+		if c != nil {
+			s.Decided[c.Zone] = c.State
+			s.Epochs[c.Zone]++
+		}
+		return c
+	}
+	next(0)
+	if c := next(r.Step); c == nil || c.State.Step != Steps || !c.State.Cold || !c.State.Returning() {
+		t.Fatalf("the last step: %+v", c)
+	}
+	next(0)
+	if c := next(r.Warm - 1); c != nil {
+		t.Fatalf("too soon: %+v", c)
+	}
+	if c := next(1); c == nil || c.State.Step != Steps || c.State.Cold || c.State.Returning() || c.State.Falls != 1 {
+		t.Fatalf("warm: %+v", c)
+	}
+	next(0)
+	if c := next(time.Hour); c != nil {
+		t.Fatalf("and once more: %+v", c)
+	}
+	now -= time.Hour // as soon after its last step as counts as a relapse, and longer after it was warm than before
+	now += r.Hold<<2 + relapseTime - r.Warm - 1
+	for _, member := range []string{"p", "q", "s"} {
+		s.Words = append(s.Words, Word{member, "b1"})
+	}
+	s.Looks = []Look{{"p", "b", false, true}, {"s", "b", false, true}}
+	if c := next(0); c == nil || c.State.Step != 0 || c.State.Falls != 2 || c.State.Cold {
+		t.Errorf("left again: %+v", c)
+	}
+	// One whose decider is lost while its servers are cold is warm later, and never sooner.
+	s.Words, s.Looks, s.Decided["b"] = nil, nil, State{Step: Steps, Cold: true}
+	k = NewKeeper(r)
+	if c := next(time.Hour); c != nil {
+		t.Errorf("a new decider takes it for warm at once: %+v", c)
+	}
+	if c := next(r.Warm); c == nil || c.State.Cold {
+		t.Errorf("it is never warm: %+v", c)
+	}
+}
--- a/internal/explore/zones.go
+++ b/internal/explore/zones.go
@@ -30,9 +30,10 @@
 	Blind    Plant = "blind-steps"      // a return goes on whatever those say that look
 	TwoLeft  Plant = "two-at-once"      // what the others can bear is not looked at
 	Repeats  Plant = "word-repeated"    // an operator's word is carried out as often as it comes
+	WarmSoon Plant = "warm-at-once"     // a zone counts as warm with its last step
 )
 
-var zonePlants = []Plant{OwnRank, Minority, WallStep, NoRetire, Blind, TwoLeft, Repeats}
+var zonePlants = []Plant{OwnRank, Minority, WallStep, NoRetire, Blind, TwoLeft, Repeats, WarmSoon}
 
 // OfZones reports whether a mistake is one about zones.
 func (p Plant) OfZones() bool { return slices.Contains(zonePlants, p) }
@@ -52,7 +53,10 @@
 // zoneRules are short, so that a run sees returns and relapses.
 func (w *world) zoneRules() evacuate.Rules {
 	r := evacuate.Usual()
-	r.Step, r.Hold, r.Most = 300*time.Millisecond, 500*time.Millisecond, 2*time.Second
+	r.Step, r.Hold, r.Most, r.Warm = 300*time.Millisecond, 500*time.Millisecond, 2*time.Second, 900*time.Millisecond
+	if w.o.Plant == WarmSoon {
+		r.Warm = 1
+	}
 	if w.o.Plant == TwoLeft {
 		r.Least, r.Others = 0, 0.59
 	}
@@ -357,9 +361,13 @@
 		return
 	}
 	forward := s.Step > was.Step
+	warm := was.Cold && !s.Cold && s.Step == was.Step
 	switch {
 	case was.Pinned:
 		w.breaks("zone %s is decided by itself against an operator's word", zoneName(zone))
+	case s.Cold != (forward && s.Step == evacuate.Steps):
+		w.breaks("zone %s is decided to be at step %d, cold: %v", zoneName(zone), s.Step, s.Cold)
+	case warm:
 	case !(was.Step == evacuate.Steps && s.Step == 0 || forward && s.Step == was.Step+1 || was.Step > 0 && s.Step == max(0, was.Step-2)):
 		w.breaks("zone %s goes from step %d to %d", zoneName(zone), was.Step, s.Step)
 	case was.Step == evacuate.Steps && w.now > w.field.last[zone]+believed && !w.field.is[zone]:
@@ -372,8 +380,15 @@
 	if was.Step == 0 {
 		least = min(usual.Hold<<min(was.Falls, 20), usual.Most)
 	}
-	if forward && w.now < at+time.Duration(float64(least)/(1+drift)) {
-		w.breaks("zone %s goes to step %d after %v, %v at least", zoneName(zone), s.Step, w.now-at, least)
+	if warm {
+		least = usual.Warm
+		w.counts["zones_warm"]++
+	}
+	if (forward || warm) && w.now < at+time.Duration(float64(least)/(1+drift)) {
+		w.breaks("zone %s goes to step %d, cold: %v, after %v, %v at least", zoneName(zone), s.Step, s.Cold, w.now-at, least)
+	}
+	if warm {
+		return
 	}
 	if !forward && was.Step == evacuate.Steps {
 		w.counts["zones_left"]++
@@ -452,8 +467,8 @@
 		return
 	}
 	for zone, s := range o.zones.states {
-		if s.Step < evacuate.Steps {
-			o.w.breaks("zone %s is at step %d (pinned: %v) at the end", zoneName(zone), s.Step, s.Pinned)
+		if s.Returning() {
+			o.w.breaks("zone %s is at step %d (pinned: %v, cold: %v) at the end", zoneName(zone), s.Step, s.Pinned, s.Cold)
 		}
 	}
 	for _, p := range o.w.procs {
--- a/internal/opfile/tier.go
+++ b/internal/opfile/tier.go
@@ -88,6 +88,9 @@
 			Step: z.duration("step", usual.Step, 100*time.Millisecond, time.Hour), Hold: z.duration("hold", usual.Hold, 100*time.Millisecond, time.Hour),
 			Most: z.duration("hold_most", usual.Most, 100*time.Millisecond, 24*time.Hour), Looks: int(z.whole("looks", int64(usual.Looks), 1, 5)), Grey: z.boolean("grey", usual.Grey),
 		}}
+		for _, p := range f.Gateway.Pools { // so long the fleet takes what it returns to for cold
+			c.Zones.Rules.Warm = max(c.Zones.Rules.Warm, p.Settings.Config.Ramp)
+		}
 		z.done()
 		if c.Copies == nil {
 			r.bad(z.n, "needs [tier.copies]: what members see of servers is what it goes by")
--- a/internal/opfile/tier_test.go
+++ b/internal/opfile/tier_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// TestZonesWarm: a zone that the fleet returns to is cold for the longest ramp of the pools.
+func TestZonesWarm(t *testing.T) {
+	text := strings.Replace(tierFile, "[tier]\n", "[pools.farm.safety]\nramp = \"25s\"\n[tier]\n", 1)
+	text = strings.Replace(text, "[[tasks]]", "[tier.copies]\n[tier.zones]\nautomatic = \"off\"\n[[tasks]]", 1)
+	f, err := Parse("f.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.Tier.Zones.Rules.Warm; got != 25*time.Second {
+		t.Errorf("cold for %v", got)
+	}
+}
+
 // TestTierExamples: what is shipped can be used.
 func TestTierExamples(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "deploy", "tier-*.toml"))
--- a/internal/tier/copies_test.go
+++ b/internal/tier/copies_test.go
@@ -23,7 +23,8 @@
 	silent func(pool, server string, is bool)
 	hints  map[string]int
 	avoid  map[string]bool
-	refuse bool // the orders would leave no server
+	back   map[string]bool // servers that count as cold
+	refuse bool            // the orders would leave no server
 	zones  map[string]string
 	down   map[string]bool // zones
 }
@@ -42,10 +43,10 @@
 	f.hints[pool+"/"+server]++
 }
 
-func (f *farmPools) Avoid(_ string, servers, _, _ map[string]bool) bool {
+func (f *farmPools) Avoid(_ string, servers, returning, _ map[string]bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.avoid = maps.Clone(servers)
+	f.avoid, f.back = maps.Clone(servers), maps.Clone(returning)
 	return !f.refuse
 }
 
@@ -349,6 +350,60 @@
 	}
 }
 
+// TestStartedWhileAZoneIsCold guards against a process that starts after the last step of a return and takes the zone's servers for warm,
+// where no list tells their start: it has not seen the zone left. Once the fleet has decided that they are warm, it does.
+func TestStartedWhileAZoneIsCold(t *testing.T) {
+	cfgs := sharing(t, 3)
+	zones := map[string]string{}
+	for i, cfg := range cfgs {
+		zones[cfg.Name] = string(rune('a' + i))
+	}
+	var all []*Tier
+	farm := func() *farmPools {
+		f := newFarm()
+		f.zones, f.down = map[string]string{"a0": "a", "b0": "b", "b1": "b", "c0": "c"}, map[string]bool{}
+		return f
+	}
+	for i := range cfgs {
+		cfgs[i].Zones = &ZonesConfig{Automatic: ZonesOff, Rules: evacuate.Usual(), Members: zones}
+		all = append(all, start(t, cfgs[i], farm()))
+	}
+	defer func() {
+		for _, tr := range all {
+			tr.Close()
+		}
+	}()
+	key := replica.ServerKey(council.ZoneKind, "farm", "b")
+	for _, cold := range []bool{true, false} {
+		eventually(t, "all are there to each other", func() bool {
+			return state(t, all[0], cfgs[0]).InStepMs >= 0 && len(state(t, all[0], cfgs[0]).Zones) == 3
+		})
+		s := evacuate.State{Step: evacuate.Steps, Cold: cold, Why: "a step was borne"}
+		if r := order(t, all[0], cfgs[0], council.OrderCommand{Key: key, Value: s.Encode()}); r.Why != "" {
+			t.Fatal(r.Why)
+		}
+		epoch := state(t, all[0], cfgs[0]).Zones[1].Epoch
+		all[2].Close()
+		late := farm()
+		all[2] = start(t, cfgs[2], late)
+		heard := func() bool {
+			z := state(t, all[2], cfgs[2]).Zones
+			return len(z) == 3 && z[1].Epoch >= epoch && z[1].Cold == cold
+		}
+		eventually(t, "the one that has started to hear of it", heard)
+		counts := func() map[string]bool {
+			late.mu.Lock()
+			defer late.mu.Unlock()
+			return maps.Clone(late.back)
+		}
+		if cold {
+			eventually(t, "its servers to count as cold", func() bool { return maps.Equal(counts(), map[string]bool{"b0": true, "b1": true}) })
+		} else if back := counts(); len(back) > 0 {
+			t.Errorf("%v count as cold for good", back)
+		}
+	}
+}
+
 // TestVanishedEnd: the other end of a link vanishes without a word, and its connection stays open and swallows what is sent: the link is made
 // anew within seconds, not after a minute of silence.
 func TestVanishedEnd(t *testing.T) {
--- a/internal/tier/zones.go
+++ b/internal/tier/zones.go
@@ -260,6 +260,7 @@
 	Epoch   uint64 `json:"epoch"`   // of what was decided of it last; 0: nothing was
 	Step    int    `json:"step"`    // 0: left, to 4: in use
 	Pinned  bool   `json:"pinned,omitempty"`
+	Cold    bool   `json:"cold,omitempty"` // wholly in use, and its servers may be cold
 	Falls   int    `json:"falls,omitempty"`
 	Why     string `json:"why,omitempty"`
 	Cause   string `json:"cause,omitempty"` // at the process that decides: what it is judged to be
@@ -285,7 +286,7 @@
 				s.Step = evacuate.Steps
 			}
 			all = append(all, ZoneStatus{
-				Pool: pool, Zone: zone, Servers: count[zone], Avoided: avoided[zone], Epoch: numbers[zone], Step: s.Step, Pinned: s.Pinned, Falls: s.Falls,
+				Pool: pool, Zone: zone, Servers: count[zone], Avoided: avoided[zone], Epoch: numbers[zone], Step: s.Step, Pinned: s.Pinned, Cold: s.Cold, Falls: s.Falls,
 				Why: s.Why, Cause: string(k.zones.causes[pool+"/"+zone]),
 			})
 		}
--- a/internal/zonal/zonal.go
+++ b/internal/zonal/zonal.go
@@ -52,7 +52,7 @@
 		numbers[zone] = e.Seq
 		worst, any := evacuate.State{Step: evacuate.Steps}, false
 		for _, v := range e.Values() { // of several contents of one version the one that uses least
-			if s, err := evacuate.Decode(string(v)); err == nil && (!any || s.Step < worst.Step) {
+			if s, err := evacuate.Decode(string(v)); err == nil && (!any || s.Step < worst.Step || s.Step == worst.Step && s.Cold) {
 				worst, any = s, true
 			}
 		}
@@ -117,7 +117,7 @@
 	all := servers(list)
 	avoid, returning, soft = evacuate.Avoided(all, states), map[string]bool{}, map[string]bool{}
 	for _, x := range all {
-		if s, is := states[x.Zone]; is && s.Step < evacuate.Steps && !avoid[x.Name] {
+		if s, is := states[x.Zone]; is && s.Returning() && !avoid[x.Name] {
 			returning[x.Name] = true
 		} else if avoid[x.Name] && !s.Pinned {
 			soft[x.Name] = true
--- a/internal/zonal/zonal_test.go
+++ b/internal/zonal/zonal_test.go
@@ -90,7 +90,9 @@
 		states := map[string]evacuate.State{}
 		for _, zone := range []string{"a", "b"} {
 			if rapid.Bool().Draw(t, "decided") {
-				states[zone] = evacuate.State{Step: rapid.IntRange(0, evacuate.Steps).Draw(t, "step"), Pinned: rapid.Bool().Draw(t, "pinned")}
+				s := evacuate.State{Step: rapid.IntRange(0, evacuate.Steps).Draw(t, "step"), Pinned: rapid.Bool().Draw(t, "pinned")}
+				s.Cold = s.Step == evacuate.Steps && rapid.Bool().Draw(t, "cold")
+				states[zone] = s
 			}
 		}
 		var first string
@@ -108,8 +110,9 @@
 			for server, zone := range list {
 				s, is := states[zone]
 				part := is && s.Step < evacuate.Steps
+				back := part || s.Cold
 				switch {
-				case avoid[server] && !part, returning[server] && (!part || avoid[server]), part && !avoid[server] && !returning[server]:
+				case avoid[server] && !part, returning[server] && (!back || avoid[server]), back && !avoid[server] && !returning[server]:
 					t.Fatalf("%s of %s at %+v: left out %v, returned to %v", server, zone, s, avoid[server], returning[server])
 				case soft[server] != (avoid[server] && !s.Pinned):
 					t.Fatalf("%s of %s at %+v: soft %v", server, zone, s, soft[server])
