--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -708,6 +708,13 @@
 	return nil
 }
 
+// Hurry has all pools ask for their lists at once.
+func (g *Gateway) Hurry() {
+	for _, m := range g.table.Load().pools {
+		m.pool.Hurry()
+	}
+}
+
 // Told reports whether the sources of all pools have told their lists.
 func (g *Gateway) Told() bool {
 	for _, m := range g.table.Load().pools {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -700,6 +700,15 @@
 	})
 }
 
+// Hurry has the module ask for the list at once, unless that has been done: who waits for it is bound by it sooner than others that start.
+func (p *Pool) Hurry() {
+	p.event(func(now policy.Time) {
+		if !p.told && p.stopWatch == nil {
+			p.balancer.Members(now, policy.ListLost, nil, p)
+		}
+	})
+}
+
 // Known is the list in force, for an instance that takes this one's place.
 func (p *Pool) Known() *source.List {
 	p.mu.Lock()
--- a/internal/sidecar/succession.go
+++ b/internal/sidecar/succession.go
@@ -47,6 +47,7 @@
 			company.Leave()
 			return err
 		}
+		s.Hurry()
 		s.awaitList(ctx)
 		s.adopt()
 	}
--- a/internal/sidecar/succession_test.go
+++ b/internal/sidecar/succession_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -15,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sorrelrudder/internal/proc"
 )
 
 // startHeld runs a sidecar whose listening socket ln is held by the platform, beside others that share dir.
@@ -166,6 +169,47 @@
 	}
 }
 
+// TestSuccessorAsksAtOnce guards against a process that takes another's place, and the clients, with the list that it was given, because its
+// first call is spread over the group as that of any that starts: what discovery tells binds it soon after it is ready.
+func TestSuccessorAsksAtOnce(t *testing.T) {
+	u := startUpstream(t, echo)
+	addr, watched := startDiscovery(t, u)
+	go func() {
+		for range watched {
+		}
+	}()
+	for range 4 { // the first call of any other is made within two of six seconds
+		held, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer held.Close()
+		dir := t.TempDir()
+		other, err := proc.JoinCompany(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Leave()
+		getenv := configEnv(t, addr, 256, listOf(t, u))
+		path := getenv("GW_CONFIG")
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = bytes.Replace(text, []byte(`"GroupSize":1`), []byte(`"GroupSize":48`), 1)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		next := startHeld(t, held.(*net.TCPListener), dir, getenv)
+		waitFor(t, "the second process", func() bool { return next.Ready() == nil })
+		if !next.Told() {
+			t.Error("it is ready, and has not heard from discovery")
+		}
+		next.end()
+		<-next.ended
+	}
+}
+
 // TestLearntSpoilt guards against a start that fails for what another process has left.
 func TestLearntSpoilt(t *testing.T) {
 	dir := t.TempDir()
