--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -291,7 +291,7 @@
 		"pushed over": func() {
 			s := w.join("new", 3)
 			for range 200 {
-				s.push(w, 100*ms)
+				s.push(w, 100*ms, true)
 			}
 		},
 	} {
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -27,8 +27,7 @@
 	waiting []*job
 	conns   int
 	late    []report // of its queue, the latest last
-	pushed  []work   // sent to it of late, while cold
-	weighed []weighed
+	pushed  []pushed // sent to it of late, while cold
 }
 
 type job struct {
@@ -41,9 +40,11 @@
 	queue int
 }
 
-type work struct {
-	at policy.Time
-	of time.Duration
+// pushed is work that has come to a cold server, and whether who sent it had been told of its start.
+type pushed struct {
+	at   policy.Time
+	of   time.Duration
+	told bool
 }
 
 func (w *World) newServer(id string, place int, started policy.Time) *server {
@@ -86,61 +87,37 @@
 }
 
 // push notes work that has come to a cold server, and has it fall over where that is too much for too long. The largest piece is
-// left out: one heavy request is chance, which nobody who sends it could know.
-func (s *server) push(w *World, of time.Duration) {
+// left out: one heavy request is chance, which nobody who sends it could know. What comes is also counted against what may be put
+// down to chance, where over two thirds of it came from instances that had been told of the server's start.
+func (s *server) push(w *World, of time.Duration, told bool) {
 	if w.day.Tip <= 0 || s.warmth(w) == 1 {
 		return
 	}
-	s.pushed = append(s.pushed, work{w.now, of})
-	sum, largest := time.Duration(0), time.Duration(0)
-	keep := s.pushed[:0]
-	for _, p := range s.pushed {
-		if p.at > w.now-w.day.TipFor {
-			keep = append(keep, p)
-			sum += p.of
-			largest = max(largest, p.of)
+	s.pushed = append(s.pushed, pushed{w.now, of, told})
+	s.pushed = slices.DeleteFunc(s.pushed, func(x pushed) bool { return x.at <= w.now-w.day.TipFor })
+	sum, known, largest := time.Duration(0), time.Duration(0), time.Duration(0)
+	for _, x := range s.pushed {
+		sum += x.of
+		largest = max(largest, x.of)
+		if x.told {
+			known += x.of
 		}
 	}
-	s.pushed = keep
-	if w.day.Stands {
-		return
-	}
-	if (sum-largest).Seconds() > w.day.Tip*s.capacity(w)*w.day.TipFor.Seconds() && !s.fallen {
+	bears := w.day.Tip * s.capacity(w) * w.day.TipFor.Seconds()
+	if !w.day.Stands && (sum-largest).Seconds() > bears && !s.fallen {
 		s.fallen = true
 		w.watch.fellOver(s)
 	}
-}
-
-// weigh counts what comes to a cold server against what may be put down to chance, where over two thirds of it came from instances
-// that had been told of its start.
-func (s *server) weigh(w *World, of time.Duration, told bool) {
-	if w.day.Tip <= 0 || s.warmth(w) == 1 {
-		return
-	}
-	s.weighed = append(s.weighed, weighed{work{w.now, of}, told})
-	s.weighed = slices.DeleteFunc(s.weighed, func(x weighed) bool { return x.at <= w.now-w.day.TipFor })
-	sum, known := time.Duration(0), time.Duration(0)
-	for _, x := range s.weighed {
-		if sum += x.of; x.told {
-			known += x.of
-		}
-	}
 	if 3*known <= 2*sum {
 		return
 	}
 	mean := w.day.meanWork().Seconds()
-	budget := w.day.Tip * s.capacity(w) * w.day.TipFor.Seconds() / mean
+	budget := bears / mean
 	chance := budget + 2*math.Sqrt(budget) + 2
-	w.Result.ColdMost = max(w.Result.ColdMost, float64(len(s.weighed))/chance)
+	w.Result.ColdMost = max(w.Result.ColdMost, float64(len(s.pushed))/chance)
 	w.Result.ColdWork = max(w.Result.ColdWork, sum.Seconds()/mean/chance)
 }
 
-// weighed is work that has come, and whether who sent it had been told of the server's start.
-type weighed struct {
-	work
-	told bool
-}
-
 // comes takes an attempt whose last byte has come.
 func (s *server) comes(w *World, a *attempt) {
 	switch {
@@ -156,8 +133,7 @@
 		a.back(w, policy.Full)
 		return
 	}
-	s.push(w, a.try.root.work)
-	s.weigh(w, a.try.root.work, a.try.in.starts[policy.ServerID(s.id)] == s.started)
+	s.push(w, a.try.root.work, a.try.in.starts[policy.ServerID(s.id)] == s.started)
 	s.waiting = append(s.waiting, &job{a, a.try.root.work})
 	s.work(w)
 }
