--- a/internal/evacuate/evacuate.go
+++ b/internal/evacuate/evacuate.go
@@ -58,9 +58,6 @@
 // parts are the shares of a zone's servers that are in use, step by step of a return.
 var parts = []float64{0, 0.1, 0.25, 0.5, 1}
 
-// Returning reports whether a zone's servers in use may be cold, though no list says so: nobody has sent them anything for a while.
-func (s State) Returning() bool { return s.Step < Steps || s.Cold }
-
 // Part is the share of a zone's servers that are in use at a step.
 func Part(step int) float64 { return parts[min(max(step, 0), Steps)] }
 
@@ -76,6 +73,9 @@
 	Why    string
 }
 
+// Returning reports whether a zone's servers in use may be cold, though no list says so: nobody has sent them anything for a while.
+func (s State) Returning() bool { return s.Step < Steps || s.Cold }
+
 // coldMark stands behind the step of a state that is Cold. Who does not know it takes the zone for one of which nothing is decided.
 const coldMark = "c"
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -182,12 +182,13 @@
 	place  *lists.Element // Server.mu: nil while a request is open
 	ending bool           // Server.mu: makes room, and is counted in Server.ending
 	drain  chan struct{}  // Server.mu: of a connection that carries several requests; closed to end it
-	unsure bool           // Server.mu: an answer is on its way whose end is that of the connection
-	since  time.Time      // Server.mu: in that list since then
-	uses   int            // Server.mu: answers on it
-	rests  bool           // Server.mu: the rule has let it wait and is owed how that ended
-	wait   keep.Wait      // Server.mu: what it said
-	read   atomic.Int64   // when something was read last, in nanoseconds since started
+	// closeDelimited is, under Server.mu, that an answer is on its way whose end is that of the connection (RFC 9112, 6.3).
+	closeDelimited bool
+	since          time.Time    // Server.mu: in that list since then
+	uses           int          // Server.mu: answers on it
+	rests          bool         // Server.mu: the rule has let it wait and is owed how that ended
+	wait           keep.Wait    // Server.mu: what it said
+	read           atomic.Int64 // when something was read last, in nanoseconds since started
 }
 
 // started is the origin of clientConn.read.
@@ -769,7 +770,7 @@
 	}
 	s.mu.Lock()
 	for c := range s.conns {
-		if c.unsure {
+		if c.closeDelimited {
 			c.abort()
 		} else {
 			c.Conn.Close()
@@ -955,9 +956,9 @@
 	if ans.Rest != nil {
 		b = bytes.Buffer{} // it may take long
 		if err == nil {
-			s.setUnsure(c, length < 0 && !chunked)
+			s.setCloseDelimited(c, length < 0 && !chunked)
 			err = c.writeRest(ans.Rest, chunked)
-			s.setUnsure(c, false)
+			s.setCloseDelimited(c, false)
 		}
 		ans.Rest.Close(err == nil)
 		if err != nil && length < 0 {
@@ -968,12 +969,12 @@
 	return err == nil && !last
 }
 
-// setUnsure notes whether an end of c would seem to be that of its answer. It guards against a server that ends while one is on its
+// setCloseDelimited notes whether an end of c would seem to be that of its answer. It guards against a server that ends while one is on its
 // way, and whose client takes a part for the whole.
-func (s *Server) setUnsure(c *clientConn, is bool) {
+func (s *Server) setCloseDelimited(c *clientConn, is bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.unsure = is
+	c.closeDelimited = is
 }
 
 // abort makes the end of c a reset.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,6 @@
 	ctx     context.Context // ends with Run
 	stop    context.CancelFunc
 	leaving sync.WaitGroup // pools that are drained and closed
-	open    atomic.Int64   // of them
 
 	applying  sync.Mutex // one configuration at a time
 	cfg       Config
@@ -83,7 +82,7 @@
 	admission *share.Admission
 	pacer     *share.Pacer
 	conns     share.Pot            // connections of clients; those that have brought no request are nobody's
-	retired   map[*member]struct{} // by a reload, and not yet closed
+	retired   map[*member]struct{} // by a reload, and not yet gone
 }
 
 // nobody owns the connections that have brought no request yet. No pool has this key.
@@ -408,18 +407,16 @@
 	g.shares.Unlock()
 	g.descriptors.Claim(m.key, share.Claim{Max: share.NoLimit})
 	g.log.Info("pool drains", "pool", m.cfg.Name, "load", m.pool.String())
-	g.open.Add(1)
 	g.leaving.Go(func() {
-		defer g.open.Add(-1)
 		ctx, cancel := context.WithTimeout(g.ctx, m.pool.Longest()+drainSlack)
 		defer cancel()
 		err := g.awaitEmpty(ctx, m)
-		g.shares.Lock()
-		delete(g.retired, m)
-		g.shares.Unlock()
 		m.pool.Close()
 		g.descriptors.Drop(m.key)
 		g.log.Info("pool removed", "pool", m.cfg.Name, "err", err)
+		g.shares.Lock()
+		defer g.shares.Unlock()
+		delete(g.retired, m)
 	})
 }
 
@@ -684,7 +681,10 @@
 
 // Load tells what the process holds.
 func (g *Gateway) Load() Load {
-	l := Load{Draining: int(g.open.Load()), Clients: g.server.Connections(), Goroutines: runtime.NumGoroutine()}
+	g.shares.Lock()
+	draining := len(g.retired)
+	g.shares.Unlock()
+	l := Load{Draining: draining, Clients: g.server.Connections(), Goroutines: runtime.NumGoroutine()}
 	for _, m := range g.table.Load().pools {
 		r, t, s := m.pool.Load()
 		l.Pools, l.Requests, l.Timers, l.Servers = l.Pools+1, l.Requests+r, l.Timers+t, l.Servers+s
