No connection to a server is reused before a second answer on it must have come

Where the answer that came twice was a rejection, a request that ran was taken for one that had not, and was sent again: keyed ones outside their group, unsafe ones too.

Cause: popIdle took the least recently used connection at any age if none had been idle for 5 ms, and the request was written before the copy had come, which Receive then took for its answer. The true answer was left to the next request on that connection. Why it works: a connection is used 20 ms after its last answer at the earliest, above 'some milliseconds' and the spread of a link; the copy has come by then, and the connection is closed unused.

--- a/internal/sidecar/long_test.go
+++ b/internal/sidecar/long_test.go
@@ -85,6 +85,7 @@
 		c := s.dial(t)
 		sent := time.Now()
 		for streak = 0; streak < wanted; streak++ { //nolint:intrange // streak is read after the loop
+			time.Sleep(reusableAfter) // so that the connection to the upstream is reused
 			before := sent
 			sent = time.Now()
 			requests++
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -37,8 +37,13 @@
 
 	onHead func(c net.Conn, q *http.Request) // if set, called with the head of each request except health checks, in place of a response
 	onConn func(open bool)                   // if set, called as a connection opens and closes; must be set before the first connection
+
+	onHealthCheck atomic.Pointer[func(c net.Conn)] // if set, responds to health checks
 }
 
+// setHealthCheckHandler sets the function that responds to health checks from now on.
+func (u *upstream) setHealthCheckHandler(respond func(c net.Conn)) { u.onHealthCheck.Store(&respond) }
+
 // startUpstream starts an upstream whose responses f returns.
 func startUpstream(t *testing.T, f responder) *upstream {
 	t.Helper()
@@ -88,7 +93,7 @@
 			return
 		}
 		if q.URL.Path == "/load" {
-			send(c, ok("queue=0"))
+			u.respondToHealthCheck(c)
 			continue
 		}
 		u.runs.Add(1)
@@ -97,6 +102,15 @@
 	}
 }
 
+// respondToHealthCheck responds with an empty queue, unless another handler is set.
+func (u *upstream) respondToHealthCheck(c net.Conn) {
+	if respond := u.onHealthCheck.Load(); respond != nil {
+		(*respond)(c)
+		return
+	}
+	send(c, ok("queue=0"))
+}
+
 // ok returns a valid response.
 func ok(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -12,9 +12,9 @@
 	// idleLimitFraction is the fraction of the endpoints' idle limit after which an idle connection is closed. Endpoints close a
 	// connection at their limit, and a request sent at that moment would be lost to a reset.
 	idleLimitFraction = 0.6
-	// minIdleBeforeReuse is how long a connection should be idle before it is reused. Data that an endpoint sends after its response has
-	// arrived by then. A connection that has been idle for less is reused only if the alternative is to dial.
-	minIdleBeforeReuse = 5 * time.Millisecond
+	// minIdleBeforeReuse is how long a connection must be idle before it is reused. An endpoint may send a response a second time some
+	// milliseconds after the first. If a request were sent before that copy has arrived, the copy would be taken for its response.
+	minIdleBeforeReuse = 20 * time.Millisecond
 	// minSweepInterval is the shortest interval between two sweeps for expired idle connections.
 	minSweepInterval = 10 * time.Millisecond
 )
@@ -51,19 +51,18 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse, or else the least
-// recently used one. It returns nil if there is none.
+// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse. It returns nil if
+// there is none.
 func (u *ConnPool) popIdle(p *Peer) *Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	i := n - 1
-	for i > 0 && time.Since(p.idle[i].idleSince) < minIdleBeforeReuse {
+	i := len(p.idle) - 1
+	for i >= 0 && time.Since(p.idle[i].idleSince) < minIdleBeforeReuse {
 		i--
 	}
+	if i < 0 {
+		return nil
+	}
 	c := p.idle[i]
 	u.setIdle(p, slices.Delete(p.idle, i, i+1))
 	return c
@@ -79,10 +78,10 @@
 	}
 }
 
-// PutIdle keeps c for reuse. It closes c if connections are not kept, if descriptors are scarce, if the peer is retired, or if data
-// follows the response. Data that arrives later is detected by takeIdle.
+// PutIdle keeps c for reuse. It closes c if connections are not kept for long enough to be reused, if descriptors are scarce, if the peer
+// is retired, or if data follows the response. Data that arrives later is detected by takeIdle.
 func (u *ConnPool) PutIdle(c *Conn) {
-	if u.idleTimeout <= 0 || u.descriptors.Scarce() || c.reader.Buffered() > 0 {
+	if u.idleTimeout <= minIdleBeforeReuse || u.descriptors.Scarce() || c.reader.Buffered() > 0 {
 		c.Discard()
 		return
 	}
