A slot keyed in a zone or cell is not taken up by another process

A process dies with a slot open whose request has run; the next holder of the lease sends it again within the window, and its pool picks any server. Where repeats are dropped by a zone or cell only, a server of another runs the slot a second time.

Cause: task.Spec had the window of the class and not its scope, and takeOver asked for the age of the key alone. Evidence: the code; TestSlotOfDeadProcess, case 'by key, dropped in its cells', and TestTaskDedupScope fail with the scope left out. Why it works: where not all servers drop repeats, a slot that may have run is never sent again, and ends as unknown, as an unsafe one.

--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// TestTaskDedupScope guards against running a slot again at any server although only the servers of a cell or zone drop its repeats.
+func TestTaskDedupScope(t *testing.T) {
+	for scope, everywhere := range map[string]bool{"all": true, "zone": false, "cell": false} {
+		text := strings.Replace(fleetFile, "effect = \"keyed\"\n", "effect = \"keyed\"\nrepeats_dropped_by = \""+scope+"\"\n", 1)
+		f, err := Parse("f.toml", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k := f.Fleet.Tasks[0]; k.DedupEverywhere != everywhere {
+			t.Errorf("repeats dropped by %s: DedupEverywhere is %t, want %t", scope, k.DedupEverywhere, everywhere)
+		}
+	}
+}
+
 // TestHTTPServiceTask checks that the rules of a pool of ordinary HTTP services select the class of a task's request.
 func TestHTTPServiceTask(t *testing.T) {
 	text := strings.Replace(fleetFile, "[pools.farm]\n", "[pools.farm]\nprotocol = \"http\"\n", 1)
--- a/internal/config/task.go
+++ b/internal/config/task.go
@@ -108,6 +108,7 @@
 	}
 	class := &classes[index]
 	t.Idempotency, t.DedupWindow = task.Idempotency(class.Idempotency), class.DedupWindow
+	t.DedupEverywhere = class.DedupScope == policy.DedupEverywhere
 	if !t.Plain && (class.Idempotency == policy.Idempotent) != (t.Method == http.MethodGet) {
 		r.fail(s.nodeAt("method"), "%s is not allowed for class %q, which is %s: safe classes require GET, and all other classes require another method", t.Method, className, effectOf(class.Idempotency))
 	}
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -173,14 +173,15 @@
 // drawTask draws the task that the processes run.
 func drawTask(setup *rand.Rand) task.Spec {
 	return task.Spec{
-		Name:          taskName,
-		Interval:      400 * time.Millisecond,
-		Missed:        []task.MissedPolicy{task.MissedSkip, task.MissedRunNewest, task.MissedRunEach}[setup.IntN(3)],
-		Idempotency:   task.Idempotency(setup.IntN(3)),
-		DedupWindow:   4 * time.Second,
-		Deadline:      300 * time.Millisecond,
-		MaxAttempts:   2,
-		MaxClockDrift: maxClockDrift,
+		Name:            taskName,
+		Interval:        400 * time.Millisecond,
+		Missed:          []task.MissedPolicy{task.MissedSkip, task.MissedRunNewest, task.MissedRunEach}[setup.IntN(3)],
+		Idempotency:     task.Idempotency(setup.IntN(3)),
+		DedupWindow:     4 * time.Second,
+		DedupEverywhere: true,
+		Deadline:        300 * time.Millisecond,
+		MaxAttempts:     2,
+		MaxClockDrift:   maxClockDrift,
 	}
 }
 
--- a/internal/task/schedule.go
+++ b/internal/task/schedule.go
@@ -51,13 +51,8 @@
 
 // takeOver returns the step for an open slot that another process began.
 func (s *Spec) takeOver(record Record, notBegunFor time.Duration) Step {
-	rerun := false
-	switch s.Idempotency {
-	case Idempotent:
-		rerun = true
-	case IdempotentByKey:
-		rerun = notBegunFor >= 0 && notBegunFor < s.KeyLifetime()
-	}
+	keyRemembered := notBegunFor >= 0 && notBegunFor < s.KeyLifetime()
+	rerun := s.Idempotency == Idempotent || s.dropsRepeats() && keyRemembered
 	if !rerun {
 		return Step{Abandon: record.Slot}
 	}
--- a/internal/task/schedule_test.go
+++ b/internal/task/schedule_test.go
@@ -7,27 +7,31 @@
 
 // testSpec returns the configuration of a task with one slot per second.
 func testSpec(e Idempotency, m MissedPolicy) Spec {
-	return Spec{Name: "t", Interval: time.Second, Missed: m, Idempotency: e, DedupWindow: 10 * time.Second, Deadline: 300 * time.Millisecond, MaxAttempts: 2}
+	return Spec{Name: "t", Interval: time.Second, Missed: m, Idempotency: e, DedupWindow: 10 * time.Second, DedupEverywhere: true, Deadline: 300 * time.Millisecond, MaxAttempts: 2}
 }
 
-// TestSlotOfDeadProcess checks that an open slot of another process is run again or abandoned, depending on its idempotency and on the
-// known age of its idempotency key.
+// TestSlotOfDeadProcess checks that an open slot of another process is run again or abandoned, depending on its idempotency, on the known
+// age of its idempotency key, and on whether all servers drop its repeats: the next request may go to any server.
 func TestSlotOfDeadProcess(t *testing.T) {
 	record := Record{Token: 1, Slot: 5, Open: true, BegunBy: 1, Attempts: 1}
 	wall := time.Unix(6, 0)
 	for name, c := range map[string]struct {
 		idempotency Idempotency
 		notBegunFor time.Duration
+		everywhere  bool
 		rerun       bool
 	}{
-		"idempotent":                  {Idempotent, -1, true},
-		"not idempotent":              {NonIdempotent, time.Millisecond, false},
-		"by key, recent":              {IdempotentByKey, 2 * time.Second, true},
-		"by key, after its lifetime":  {IdempotentByKey, 9800 * time.Millisecond, false},
-		"by key, of unknown age":      {IdempotentByKey, -1, false},
-		"by key, within its lifetime": {IdempotentByKey, 9699 * time.Millisecond, true},
+		"idempotent":                   {Idempotent, -1, true, true},
+		"idempotent, in a cell":        {Idempotent, -1, false, true},
+		"not idempotent":               {NonIdempotent, time.Millisecond, true, false},
+		"by key, recent":               {IdempotentByKey, 2 * time.Second, true, true},
+		"by key, after its lifetime":   {IdempotentByKey, 9800 * time.Millisecond, true, false},
+		"by key, of unknown age":       {IdempotentByKey, -1, true, false},
+		"by key, within its lifetime":  {IdempotentByKey, 9699 * time.Millisecond, true, true},
+		"by key, dropped in its cells": {IdempotentByKey, 2 * time.Second, false, false},
 	} {
 		s := testSpec(c.idempotency, MissedRunNewest)
+		s.DedupEverywhere = c.everywhere
 		step := s.Next(record, 2, wall, c.notBegunFor)
 		if c.rerun != (step.Begin == 5 && step.Rerun) || c.rerun == (step.Abandon == 5) {
 			t.Errorf("%s: %+v", name, step)
--- a/internal/task/spec.go
+++ b/internal/task/spec.go
@@ -40,13 +40,16 @@
 	Missed      MissedPolicy
 	Idempotency Idempotency
 	// DedupWindow is how long the servers remember an idempotency key (IdempotentByKey).
-	DedupWindow   time.Duration
-	Deadline      time.Duration // timeout of each request
-	MaxAttempts   int           // bound on the requests for one slot, if a repeat does no harm
-	MaxClockDrift float64       // bound on the deviation of each clock's rate from true time, as a fraction
-	MaxOpen       int           // bound on the open slots of all tasks in the fleet; 0: no bound
-	Priority      int           // tasks that wait because of MaxOpen are admitted by descending priority
-	Budget        Budget
+	DedupWindow time.Duration
+	// DedupEverywhere reports whether each server drops the repeats of a request that another server has executed (IdempotentByKey).
+	// Otherwise only the servers of its zone or cell do.
+	DedupEverywhere bool
+	Deadline        time.Duration // timeout of each request
+	MaxAttempts     int           // bound on the requests for one slot, if a repeat does no harm
+	MaxClockDrift   float64       // bound on the deviation of each clock's rate from true time, as a fraction
+	MaxOpen         int           // bound on the open slots of all tasks in the fleet; 0: no bound
+	Priority        int           // tasks that wait because of MaxOpen are admitted by descending priority
+	Budget          Budget
 }
 
 // Validate returns an error that names the first invalid value, or nil.
@@ -84,9 +87,12 @@
 	return nil
 }
 
-// KeyLifetime returns how long the idempotency key of a slot may be sent again, counted by this process's clock from the time at which the
-// slot was last known not to be begun. A request may run as late as its deadline. The servers must still remember the key of the first run
-// at that time.
+// dropsRepeats reports whether a slot that may have run may be sent again while its idempotency key is remembered: its next request may go
+// to any server.
+func (s *Spec) dropsRepeats() bool { return s.Idempotency == IdempotentByKey && s.DedupEverywhere }
+
+// KeyLifetime returns how long the idempotency key of a slot may be sent again, counted by this process's clock from a time before its first
+// run. A request may run as late as its deadline. The servers must still remember the key of the first run at that time.
 func (s *Spec) KeyLifetime() time.Duration {
 	return time.Duration(float64(s.DedupWindow)*(1-s.MaxClockDrift)/(1+s.MaxClockDrift)) - s.Deadline
 }
