A keyed slot that may have run is sent again only while servers remember its key

Cause: a pool may reject (503) a keyed request that may have run, since all servers drop its repeats for a while. outcomeOf took each 503 for the proof that nothing ran, and mayRetry sent it again with no look at the window, which send compared only in a slot that another process had begun. A lease that lapsed between two requests made the runner forget the first. Rejections of a request that another site may have run were no different. Why it works: gateway.Do tells whether an attempt, here or at the other site, may have been executed, and outcomeOf answers unknown then. The runner keeps since when the key may be in use, over a lapse too, and sends again only if the repeat's deadline lies within the window. Refused is recorded only if no request may have run. An answer that is unknown early in the window is now tried again, as tries says.

--- a/internal/fleet/golden_test.go
+++ b/internal/fleet/golden_test.go
@@ -461,9 +461,9 @@
 // requestRecorder is a Sender that records the request.
 type requestRecorder struct{ sent *httpmsg.Request }
 
-func (r *requestRecorder) Do(_ context.Context, _ string, q *httpmsg.Request) (httpmsg.Response, error) {
+func (r *requestRecorder) Do(_ context.Context, _ string, q *httpmsg.Request) (httpmsg.InternalResponse, error) {
 	r.sent = q
-	return httpmsg.Response{Status: http.StatusOK}, nil
+	return httpmsg.InternalResponse{Response: httpmsg.Response{Status: http.StatusOK}}, nil
 }
 
 // TestSlotRequest checks that endpoints receive the same request for a slot as from earlier versions, in particular the same keys and tokens.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -63,7 +63,7 @@
 // Sender sends a request through one of the process's pools, which balance and retry the request like requests of clients. It must be
 // safe for concurrent use.
 type Sender interface {
-	Do(ctx context.Context, pool string, q *httpmsg.Request) (httpmsg.Response, error)
+	Do(ctx context.Context, pool string, q *httpmsg.Request) (httpmsg.InternalResponse, error)
 }
 
 // Host is the membership of a process in its fleet. Its methods are safe for concurrent use.
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -46,11 +46,11 @@
 	seen []string
 }
 
-func (s *fakeSender) Do(_ context.Context, _ string, q *httpmsg.Request) (httpmsg.Response, error) {
+func (s *fakeSender) Do(_ context.Context, _ string, q *httpmsg.Request) (httpmsg.InternalResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seen = append(s.seen, q.Header.Get("Idempotency-Key"))
-	return httpmsg.Response{Status: 200}, nil
+	return httpmsg.InternalResponse{Response: httpmsg.Response{Status: 200}}, nil
 }
 
 func (s *fakeSender) count() int {
--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -136,9 +136,10 @@
 // viaHeader is set in responses of ordinary HTTP servers, but not in this process's own responses.
 const viaHeader = "Via"
 
-// outcomeOf returns the outcome of a slot by the response to its request. A rejection guarantees that nothing has run. A failure guarantees
-// nothing, and neither does the 503 of a server that speaks ordinary HTTP.
-func outcomeOf(response httpmsg.Response, err error, plain bool) task.Outcome {
+// outcomeOf returns the outcome of a slot by the response to its request. A rejection without an attempt that may have been executed
+// guarantees that nothing has run. After such an attempt, it only tells that servers drop a repeat for now. A failure guarantees nothing, and
+// neither does the 503 of a server that speaks ordinary HTTP.
+func outcomeOf(response httpmsg.InternalResponse, err error, plain bool) task.Outcome {
 	var rejection httpmsg.RejectionError
 	switch {
 	case errors.As(err, &rejection) && rejection.Retryable():
@@ -151,8 +152,10 @@
 		return task.OutcomeDone
 	case plain && response.Header.Get(viaHeader) != "":
 		return task.OutcomeFailed
-	case response.Status == http.StatusServiceUnavailable, response.Status == http.StatusTooManyRequests:
-		return task.OutcomeRejected
+	case response.Status != http.StatusServiceUnavailable && response.Status != http.StatusTooManyRequests:
+		return task.OutcomeFailed
+	case response.MayHaveExecuted:
+		return task.OutcomeUnknown
 	}
-	return task.OutcomeFailed
+	return task.OutcomeRejected
 }
--- a/internal/httpmsg/message.go
+++ b/internal/httpmsg/message.go
@@ -62,3 +62,11 @@
 	// it is not known.
 	Length int64
 }
+
+// InternalResponse is the final response to a request of the process itself.
+type InternalResponse struct {
+	Response
+	// MayHaveExecuted is set if an endpoint may have executed the request. The response can be a rejection all the same, if endpoints drop
+	// repeats of the request.
+	MayHaveExecuted bool
+}
--- a/internal/pool/exchange.go
+++ b/internal/pool/exchange.go
@@ -35,12 +35,13 @@
 // in the channel.
 func (e *Exchange) Cancel() bool { return e.pool.cancelRequest(e.request) }
 
-// AttemptSummary returns the number of attempts made by this pool, and whether any of them may have been executed. It must be called
-// only after the response has been received.
+// AttemptSummary returns the number of attempts made by this pool, and whether any of them, or an attempt of another site that the request
+// was forwarded to, may have been executed. It must be called only after the response has been received.
 func (e *Exchange) AttemptSummary() (attempts int, mayHaveExecuted bool) {
 	p := e.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	mayHaveExecuted = e.request.forwardExecuted
 	for _, a := range e.request.attempts {
 		mayHaveExecuted = mayHaveExecuted || a.mayHaveExecuted()
 	}
--- a/internal/pool/forward.go
+++ b/internal/pool/forward.go
@@ -27,13 +27,15 @@
 // ClientGone returns a channel that is closed once the response is no longer needed: the client has disconnected, or the process ends.
 func (r *RejectedRequest) ClientGone() <-chan struct{} { return r.clientGone }
 
-// Respond sets the final response of the request. If the response is no longer needed, Respond only closes its Remainder.
-func (r *RejectedRequest) Respond(response httpmsg.Response) {
+// Respond sets the final response of the request. mayHaveExecuted tells whether another site may have executed the request. If the response
+// is no longer needed, Respond only closes its Remainder.
+func (r *RejectedRequest) Respond(response httpmsg.Response, mayHaveExecuted bool) {
 	used := false
 	r.pool.runEvent(func(policy.Time) {
 		if r.request.forwarding != r {
 			return
 		}
+		r.request.forwardExecuted = mayHaveExecuted
 		r.request.forwarding, used = nil, true
 		r.pool.respond(r.request, response, metrics.OutcomeOfStatus(response.Status))
 		if response.Remainder != nil { // the pool that served the request streams the remainder
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -36,6 +36,7 @@
 	attemptsInFlight int
 	ended            bool
 	forwarding       *RejectedRequest  // not nil: this pool rejected the request, and its response is awaited from another site
+	forwardExecuted  bool              // another site, to which the request was forwarded, may have executed it
 	lastFailure      *httpmsg.Response // with an EndToEndProtocol: the last complete response that was a failure; nil: none
 	streaming        bool              // a long response is being streamed to the client
 }
--- a/internal/sitelink/exchange.go
+++ b/internal/sitelink/exchange.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"sorrelrudder/internal/downstream"
+	"sorrelrudder/internal/gateway"
 	"sorrelrudder/internal/httpmsg"
-	"sorrelrudder/internal/pool"
 	"sorrelrudder/internal/siteheader"
 )
 
@@ -55,15 +55,6 @@
 	clientGone chan struct{}
 }
 
-// attemptSummarizer is a downstream.Exchange that reports the attempts made for its request.
-type attemptSummarizer interface {
-	AttemptSummary() (attempts int, mayHaveExecuted bool)
-}
-
-// withResponseField detects an attemptSummarizer by a type assertion at run time, so this line checks at compile time that the exchanges
-// of a pool implement the interface.
-var _ attemptSummarizer = (*pool.Exchange)(nil)
-
 func newExchange(l *poolLink, x downstream.Exchange) *exchange {
 	e := &exchange{Exchange: x, link: l, response: make(chan httpmsg.Response, 1), clientGone: make(chan struct{})}
 	l.extension.goroutines.Go(func() {
@@ -91,7 +82,7 @@
 	rejected := response.Status == http.StatusTooManyRequests || response.Status == http.StatusServiceUnavailable
 	r := siteheader.Response{Outcome: siteheader.MayHaveExecuted, Credits: e.recordDone(rejected)}
 	mayHaveExecuted := true
-	if x, ok := e.Exchange.(attemptSummarizer); ok {
+	if x, ok := e.Exchange.(gateway.AttemptSummarizer); ok {
 		r.Attempts, mayHaveExecuted = x.AttemptSummary()
 	}
 	switch {
--- a/internal/sitelink/forward.go
+++ b/internal/sitelink/forward.go
@@ -32,21 +32,21 @@
 // Forward implements gateway.Spillover. It forwards the request to the peer if that is allowed, and otherwise responds with the rejection.
 func (l *poolLink) Forward(ctx context.Context, r *pool.RejectedRequest) {
 	if !l.tryForward(r) {
-		r.Respond(r.Rejection)
+		r.Respond(r.Rejection, false)
 		return
 	}
 	select {
 	case l.forwarded <- struct{}{}:
 	default:
 	}
-	response := l.submit(ctx, r)
+	response, mayHaveExecuted := l.submit(ctx, r)
 	l.mu.Lock()
 	l.spillover.RecordReturn(l.extension.now(), false, 0)
 	l.mu.Unlock()
 	if response.Status == http.StatusServiceUnavailable {
 		response = r.Rejection // the local rejection is still valid, and its Retry-After applies to this site
 	}
-	r.Respond(response)
+	r.Respond(response, mayHaveExecuted)
 }
 
 // tryForward records a rejected request and reports whether it may be forwarded. If so, the request counts as in flight.
@@ -65,13 +65,13 @@
 		l.spillover.TryForward(now, class)
 }
 
-// submit sends a request through the peer's pool and returns the response. It returns the local rejection if the peer's pool does not
-// accept the request, the client disconnects or ctx ends.
-func (l *poolLink) submit(ctx context.Context, r *pool.RejectedRequest) httpmsg.Response {
-	response := r.Rejection
+// submit sends a request through the peer's pool and returns the response, and whether the peer may have executed the request. It returns the
+// local rejection if the peer's pool does not accept the request, the client disconnects or ctx ends.
+func (l *poolLink) submit(ctx context.Context, r *pool.RejectedRequest) (response httpmsg.Response, mayHaveExecuted bool) {
+	response = r.Rejection
 	x, err := l.remotePool.SubmitRejected(r, time.Until(r.Deadline), len(r.PriorAttempts)+1)
 	if err != nil {
-		return response
+		return response, false
 	}
 	select {
 	case response = <-x.Response():
@@ -80,10 +80,11 @@
 	case <-ctx.Done():
 		x.Cancel()
 	}
-	if attempts, _ := x.AttemptSummary(); attempts == 0 && response.Status == http.StatusServiceUnavailable {
+	attempts, mayHaveExecuted := x.AttemptSummary()
+	if attempts == 0 && response.Status == http.StatusServiceUnavailable {
 		l.republishIfUnused()
 	}
-	return response
+	return response, mayHaveExecuted
 }
 
 // republishIfUnused publishes the peer's endpoint again if the link is open, at most once per minPublishInterval. It is called when the
--- a/internal/sitelink/sitelink_test.go
+++ b/internal/sitelink/sitelink_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"sorrelrudder/internal/fake"
+	"sorrelrudder/internal/httpmsg"
 	"sorrelrudder/internal/siteheader"
 	"sorrelrudder/internal/spillover"
 )
@@ -50,6 +52,35 @@
 	p.checkRecorder(t)
 }
 
+// TestExecutionAtPeerIsReported guards against a rejected request of the process itself that counts as not executed although the remote site,
+// to which it was forwarded, may have executed it.
+func TestExecutionAtPeerIsReported(t *testing.T) {
+	p := startPair(t, 0, [2]*TLS{})
+	p.untilServed(t, "order")
+	for _, b := range p.far.backends {
+		b.SetFault(fake.Fault{Kind: fake.FaultReset, Fraction: 1})
+	}
+	n, id := 0, ""
+	var response httpmsg.InternalResponse
+	waitFor(t, "a request to be executed at the remote site", func() bool {
+		n++
+		id = fmt.Sprint("own-", n)
+		p.recorder.RecordSent(p.recorder.BeginOperation(fake.IdempotentByKey), id, time.Second)
+		var err error
+		response, err = p.near.gw.Do(t.Context(), "farm", &httpmsg.Request{
+			Method: http.MethodPost, URI: "/order/" + id, Path: "/order/" + id, Host: "farm",
+			Header: http.Header{"X-Request-Id": {id}, "X-Timeout-Ms": {"1000"}, "Idempotency-Key": {id}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p.recorder.ArrivalCount(id) > 0
+	})
+	if response.Status == http.StatusOK || !response.MayHaveExecuted {
+		t.Errorf("request %s, executed at the remote site without a response: status %d, MayHaveExecuted %t, want a failure and true", id, response.Status, response.MayHaveExecuted)
+	}
+}
+
 // TestDeadlineAtPeer guards the response to a client whose deadline passes while its request is at the remote site. It also guards against
 // a late response that is delivered for another request.
 func TestDeadlineAtPeer(t *testing.T) {
--- a/internal/task/command.go
+++ b/internal/task/command.go
@@ -6,7 +6,7 @@
 // Outcomes of a slot.
 const (
 	OutcomeDone     Outcome = "done"
-	OutcomeRejected Outcome = "refused" // the slot certainly did not run
+	OutcomeRejected Outcome = "refused" // the slot certainly did not run; as the outcome of a request: the request did not run it
 	OutcomeFailed   Outcome = "failed"  // a server answered that the slot failed
 	OutcomeUnknown  Outcome = "unknown" // the slot may have run
 )
--- a/internal/task/run.go
+++ b/internal/task/run.go
@@ -4,25 +4,31 @@
 
 // slotRun is the state of the slot that a runner runs, from its begin until its outcome is recorded in the registry.
 type slotRun struct {
-	slot        int64 // 0: none
-	rerun       bool  // another process has begun the slot before
-	attempts    int   // requests sent by this process
-	inFlight    bool  // a request has no outcome yet
-	sentAt      time.Duration
-	retryAt     time.Duration // earliest time of the next request
-	requestTime time.Duration // sum of the times of all requests
-	outcome     Outcome       // empty: not known yet
+	slot         int64         // 0: none
+	rerun        bool          // another process has begun the slot before
+	mayHaveRun   bool          // by an earlier request, of this process or another
+	keyUsedSince time.Duration // if mayHaveRun is set: a time before the first run
+	attempts     int           // requests sent by this process
+	inFlight     bool          // a request has no outcome yet
+	sentAt       time.Duration
+	retryAt      time.Duration // earliest time of the next request
+	requestTime  time.Duration // sum of the times of all requests
+	outcome      Outcome       // empty: not known yet
+}
+
+// newRun returns the state of a slot that this process has begun. rerun is set if another process has begun the slot before.
+func (r *Runner) newRun(slot int64, rerun bool) slotRun {
+	return slotRun{slot: slot, rerun: rerun, mayHaveRun: rerun, keyUsedSince: r.view.notBegunAt}
 }
 
 // send returns the next request of the slot. It returns no action while a retry is delayed or once the lease has expired. If the servers may
-// have forgotten the idempotency key of a slot that is run again, it returns an OpFinish command with OutcomeUnknown instead.
+// have forgotten the idempotency key of a slot that may have run, it returns an OpFinish command with OutcomeUnknown instead.
 func (r *Runner) send(now time.Duration, wall time.Time, token uint64, until time.Duration) (Action, time.Duration) {
 	run := &r.run
 	if now < run.retryAt {
 		return Action{}, run.retryAt
 	}
-	if run.rerun && r.spec.Idempotency == IdempotentByKey && now >= r.view.notBegunAt+r.spec.KeyLifetime() {
-		// The result of OpBegin arrived late. The servers may no longer remember the idempotency key.
+	if run.mayHaveRun && r.spec.Idempotency == IdempotentByKey && now >= run.keyUsedSince+r.spec.KeyLifetime() {
 		run.outcome = OutcomeUnknown
 		return r.finish(now, wall, token)
 	}
@@ -44,20 +50,28 @@
 	}
 	run.inFlight = false
 	run.requestTime += now - run.sentAt
+	if outcome != OutcomeRejected && !run.mayHaveRun {
+		run.mayHaveRun, run.keyUsedSince = true, run.sentAt
+	}
 	if r.mayRetry(outcome) && run.attempts < r.spec.MaxAttempts {
 		run.retryAt = retryAt
 		return
 	}
 	run.outcome = outcome
+	if outcome == OutcomeRejected && run.mayHaveRun {
+		run.outcome = OutcomeUnknown // the last request did not run the slot, but an earlier one may have
+	}
 }
 
-// mayRetry reports whether a request with an outcome may be sent again, because the slot certainly did not run or because running the slot
-// again does no harm.
+// mayRetry reports whether a request with an outcome may be sent again, because the request certainly did not run the slot or because
+// running the slot again does no harm. For a slot whose repeats the servers drop, send also checks that they still do.
 func (r *Runner) mayRetry(outcome Outcome) bool {
 	switch outcome {
 	case OutcomeRejected:
 		return true
-	case OutcomeUnknown, OutcomeFailed:
+	case OutcomeUnknown:
+		return r.spec.Idempotency == Idempotent || r.spec.dropsRepeats()
+	case OutcomeFailed:
 		return r.spec.Idempotency == Idempotent
 	}
 	return false
--- a/internal/task/runner.go
+++ b/internal/task/runner.go
@@ -36,6 +36,7 @@
 	pending          *Command // OpBegin or OpFinish without a result yet
 	pendingSince     time.Duration
 	run              slotRun
+	suspended        slotRun       // the last run under the current token that was dropped between two requests
 	admissionRetryAt time.Duration // after RefusedConcurrencyLimit
 	budgetExhausted  bool
 }
@@ -111,6 +112,7 @@
 		}
 		if token != 0 {
 			r.view.token, r.view.known, r.nextFetch = token, false, now
+			r.suspended = slotRun{} // another process may have run the slot meanwhile
 		}
 	}
 	switch {
@@ -124,9 +126,7 @@
 		return r.fetch(now)
 	}
 	if record := r.view.record; record.Open && record.BegunBy == token {
-		// This process began the slot, because no other process and no other start of this one has the token. It has not sent a request,
-		// because the result of OpBegin arrived while the lease had lapsed temporarily.
-		r.run = slotRun{slot: record.Slot, rerun: record.Attempts > 1}
+		r.resume(record)
 		return r.send(now, wall, token, until)
 	}
 	step := r.spec.Next(r.view.record, token, wall, r.view.notBegunFor(now))
@@ -134,15 +134,29 @@
 	return r.performStep(now, wall, token, step)
 }
 
-// dropUnsent drops a slot that was begun under another token and whose request was not sent. The current holder learns of the slot from the
-// record.
+// dropUnsent drops a slot that was begun under another token and whose next request was not sent. The current holder learns of the slot from
+// the record.
 func (r *Runner) dropUnsent() {
 	if r.pending != nil && r.pending.Op == OpBegin {
 		r.pending = nil
 	}
-	if r.run.outcome == "" {
-		r.run = slotRun{}
+	if r.run.outcome != "" {
+		return
+	}
+	if r.run.attempts > 0 {
+		r.suspended = r.run
+	}
+	r.run = slotRun{}
+}
+
+// resume runs the open slot of the record, which the current token began. This process began it, because no other process and no other start
+// of this one has the token. The lease had lapsed temporarily, either between two requests or before the result of OpBegin arrived.
+func (r *Runner) resume(record Record) {
+	if r.suspended.slot == record.Slot {
+		r.run = r.suspended
+		return
 	}
+	r.run = r.newRun(record.Slot, record.Attempts > 1)
 }
 
 // performStep returns the action for a step of the schedule.
@@ -242,6 +256,6 @@
 		r.view.known = false
 		r.nextFetch = now
 	case token == c.Token:
-		r.run = slotRun{slot: c.Slot, rerun: c.Rerun}
+		r.run = r.newRun(c.Slot, c.Rerun)
 	}
 }
--- a/internal/task/runner_test.go
+++ b/internal/task/runner_test.go
@@ -14,7 +14,8 @@
 	spec     Spec
 	token    uint64
 	until    time.Duration
-	sends    map[int64]int // number of requests that may have run, by slot
+	sends    map[int64]int           // number of requests that may have run, by slot
+	firstRun map[int64]time.Duration // when the first of them was sent, by slot
 }
 
 // loseLease makes another process hold the lease temporarily and begin a slot.
@@ -34,13 +35,20 @@
 	if record.Slot == request.Slot && (!record.Open || record.BegunBy != request.Token) || request.Deadline > r.until {
 		t.Fatalf("request %+v does not match the record %+v and the end of the lease at %v", request, record, r.until)
 	}
+	if first, mayHaveRun := r.firstRun[request.Slot]; mayHaveRun && r.spec.Idempotency == IdempotentByKey && request.Deadline > first+r.spec.DedupWindow {
+		t.Fatalf("request %+v may run after its idempotency key is forgotten, %v after %v", request, r.spec.DedupWindow, first)
+	}
 	outcome := rapid.SampledFrom([]Outcome{OutcomeDone, OutcomeRejected, OutcomeFailed, OutcomeUnknown}).Draw(t, "outcome")
 	if outcome != OutcomeRejected {
+		if _, mayHaveRun := r.firstRun[request.Slot]; !mayHaveRun {
+			r.firstRun[request.Slot] = now
+		}
 		if r.sends[request.Slot]++; r.sends[request.Slot] > 1 && r.spec.Idempotency == NonIdempotent {
 			t.Fatalf("slot %d may have run %d times", request.Slot, r.sends[request.Slot])
 		}
 	}
-	r.runner.HandleOutcome(now, outcome, now+20*time.Millisecond)
+	retryDelay := time.Duration(rapid.IntRange(20, 1500).Draw(t, "retry delay")) * time.Millisecond
+	r.runner.HandleOutcome(now, outcome, now+retryDelay)
 }
 
 // step performs the runner's next action.
@@ -61,7 +69,8 @@
 }
 
 // TestRunnerSendsOnlyBegunSlots checks that the runner sends a request only for a slot that the registry has as begun by the current
-// token, and that the request's deadline is not after the end of the lease.
+// token, that the request's deadline is not after the end of the lease, and that it is within the dedup window of the first request that may
+// have run the slot.
 func TestRunnerSendsOnlyBegunSlots(t *testing.T) {
 	sent := 0
 	defer func() {
@@ -71,9 +80,11 @@
 	}()
 	rapid.Check(t, func(t *rapid.T) {
 		s := testSpec(Idempotency(rapid.IntRange(0, 2).Draw(t, "effect")), MissedRunNewest)
+		s.DedupWindow = time.Duration(rapid.IntRange(400, 3000).Draw(t, "dedup window")) * time.Millisecond
+		s.MaxAttempts = rapid.IntRange(1, 4).Draw(t, "attempts")
 		r := runnerTest{
 			registry: NewRegistry(), runner: NewRunner(s, 100*time.Millisecond, 300*time.Millisecond), spec: s,
-			token: 1, until: 5 * time.Second, sends: map[int64]int{},
+			token: 1, until: 5 * time.Second, sends: map[int64]int{}, firstRun: map[int64]time.Duration{},
 		}
 		for now := time.Duration(0); now < 12*time.Second; now += time.Duration(rapid.IntRange(10, 120).Draw(t, "step")) * time.Millisecond {
 			if now > r.until || rapid.IntRange(0, 60).Draw(t, "another") == 37 {
@@ -111,6 +122,110 @@
 	}
 }
 
+// runnerInFlight returns a runner that has sent the first request of a slot, at time 0.
+func runnerInFlight(t *testing.T, registry *Registry, e Idempotency) (r *Runner, slot int64) {
+	t.Helper()
+	r, c := runnerAtBegin(t, registry, e)
+	r.HandleResult(0, c, registry.Apply(c), 1)
+	if a, _ := r.Next(0, time.Unix(1000, 0), 1, time.Hour); a.Send == nil {
+		t.Fatalf("%+v", a)
+	}
+	return r, c.Slot
+}
+
+// TestRetryWithinDedupWindow guards against sending a keyed request again once the servers may have forgotten its key, and against recording
+// a slot that may have run as rejected. The case review/3 showed both: a rejection that followed an attempt whose response was lost.
+func TestRetryWithinDedupWindow(t *testing.T) {
+	const never = time.Duration(-1)
+	lifetime := 9700 * time.Millisecond // the dedup window less the deadline
+	for name, c := range map[string]struct {
+		idempotency Idempotency
+		everywhere  bool
+		first       Outcome
+		retryAt     time.Duration
+		wantRetry   bool
+		second      Outcome
+		want        Outcome
+	}{
+		"by key, in its window":          {IdempotentByKey, true, OutcomeUnknown, lifetime - 1, true, OutcomeDone, OutcomeDone},
+		"by key, rejected in its window": {IdempotentByKey, true, OutcomeUnknown, time.Second, true, OutcomeRejected, OutcomeUnknown},
+		"by key, after its window":       {IdempotentByKey, true, OutcomeUnknown, lifetime, false, "", OutcomeUnknown},
+		"by key, dropped in cells":       {IdempotentByKey, false, OutcomeUnknown, time.Second, false, "", OutcomeUnknown},
+		"by key, never ran":              {IdempotentByKey, true, OutcomeRejected, 2 * lifetime, true, OutcomeRejected, OutcomeRejected},
+		"by key, in cells, never ran":    {IdempotentByKey, false, OutcomeRejected, time.Second, true, OutcomeDone, OutcomeDone},
+		"idempotent":                     {Idempotent, true, OutcomeUnknown, 2 * lifetime, true, OutcomeRejected, OutcomeUnknown},
+		"not idempotent":                 {NonIdempotent, true, OutcomeUnknown, never, false, "", OutcomeUnknown},
+		"not idempotent, never ran":      {NonIdempotent, true, OutcomeRejected, time.Second, true, OutcomeUnknown, OutcomeUnknown},
+	} {
+		registry := NewRegistry()
+		r, slot := runnerInFlight(t, registry, c.idempotency)
+		r.spec.DedupEverywhere = c.everywhere
+		r.HandleOutcome(time.Millisecond, c.first, c.retryAt)
+		at := max(time.Millisecond, c.retryAt)
+		a, _ := r.Next(at, time.Unix(1000, 0).Add(at), 1, time.Hour)
+		if retried := a.Send != nil; retried != c.wantRetry {
+			t.Errorf("%s: the request was sent again: %t, want %t", name, retried, c.wantRetry)
+			continue
+		}
+		if c.wantRetry {
+			r.HandleOutcome(at, c.second, at)
+			a, _ = r.Next(at, time.Unix(1000, 0).Add(at), 1, time.Hour)
+		}
+		if a.Command == nil || a.Command.Op != OpFinish || a.Command.Slot != slot || a.Command.Outcome != c.want {
+			t.Errorf("%s: %+v, want an OpFinish command with outcome %q", name, a.Command, c.want)
+		}
+	}
+}
+
+// TestDedupWindowWhileLapsed guards against sending a keyed request again after its dedup window because the lease lapsed between two
+// requests and the same token became current again.
+func TestDedupWindowWhileLapsed(t *testing.T) {
+	registry := NewRegistry()
+	r, _ := runnerInFlight(t, registry, IdempotentByKey)
+	r.HandleOutcome(time.Millisecond, OutcomeUnknown, time.Second)
+	for now := time.Second; now < 12*time.Second; now += 100 * time.Millisecond {
+		token := uint64(0) // the lease has lapsed
+		if now > r.spec.DedupWindow {
+			token = 1
+		}
+		a, _ := r.Next(now, time.Unix(1000, 0), token, time.Hour)
+		if a.FetchRecord {
+			r.HandleRecord(now, registry.Record("t"))
+		}
+		if a.Send != nil {
+			t.Fatalf("the request was sent again at %v, after the dedup window of %v", now, r.spec.DedupWindow)
+		}
+		if a.Command != nil {
+			r.HandleResult(now, *a.Command, registry.Apply(*a.Command), token)
+		}
+	}
+	if record := registry.Record("t"); record.Open || record.LastOutcome != OutcomeUnknown {
+		t.Errorf("record %+v, want the slot finished with outcome %q", record, OutcomeUnknown)
+	}
+}
+
+// TestSuspendedRunOfEarlierToken guards against resuming a slot as one that did not run, because it did not run under an earlier token of this
+// process. Another process may have run it since.
+func TestSuspendedRunOfEarlierToken(t *testing.T) {
+	registry := NewRegistry()
+	r, slot := runnerInFlight(t, registry, IdempotentByKey)
+	wall := time.Unix(1000, 0)
+	r.HandleOutcome(time.Millisecond, OutcomeRejected, time.Second)
+	r.Next(100*time.Millisecond, wall, 0, 0) // the lease has lapsed
+	registry.Apply(Command{Op: OpBegin, Task: "t", Slot: slot, Token: 2, Rerun: true})
+	r.Next(200*time.Millisecond, wall, 3, time.Hour)
+	r.HandleRecord(200*time.Millisecond, registry.Record("t"))
+	a, _ := r.Next(300*time.Millisecond, wall, 3, time.Hour)
+	if a.Command == nil || a.Command.Op != OpBegin || !a.Command.Rerun {
+		t.Fatalf("%+v, want the command that begins the slot again", a)
+	}
+	r.HandleResult(400*time.Millisecond, *a.Command, registry.Apply(*a.Command), 0) // the lease has lapsed again
+	r.Next(500*time.Millisecond, wall, 0, 0)
+	if a, _ = r.Next(r.spec.DedupWindow, wall, 3, time.Hour); a.Send != nil || a.Command == nil || a.Command.Outcome != OutcomeUnknown {
+		t.Errorf("%+v after the dedup window, want the slot finished with outcome %q", a, OutcomeUnknown)
+	}
+}
+
 // runnerAtBegin returns a runner that has decided to begin a slot, and the command.
 func runnerAtBegin(t *testing.T, registry *Registry, e Idempotency) (*Runner, Command) {
 	t.Helper()
