A keyed request that may have run is refused only within its window

A request of a keyed class that may have run was refused (503) however long ago its attempt was. The rule, for retries and rejections alike: idempotent by key only in its dedup group and window.

Cause: rejectionSafe asked for the scope of the class, not for its window, unlike repeatDenial for the module's own retries. Evidence: the code; TestRejectionWithinDedupWindow and the observer's case 'rejected after the dedup window' fail before. Why it works: one test of the window for both, with the retries' margin; after it such a request fails. The emulator's observer holds every emulated fleet to it.

--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -237,12 +237,22 @@
 	return true
 }
 
-// checkRejectionAllowed checks that a request that may have been executed is rejected only if the client may repeat it at any backend.
+// checkRejectionAllowed checks that a request that may have been executed is rejected only if the client may repeat it at any backend: its
+// class is idempotent, or all backends still drop its repeats.
 func (o *observer) checkRejectionAllowed(r *request, record *requestRecord) {
-	repeatable := r.class.Idempotency == policy.Idempotent ||
-		r.class.Idempotency == policy.IdempotentByKey && r.class.DedupScope == policy.DedupEverywhere
-	if !repeatable && len(record.possiblyExecuted) > 0 {
-		o.violation(ruleNoRepeat, "class %s: a request that may have been executed was rejected", r.class.Name)
+	if r.class.Idempotency == policy.Idempotent {
+		return
+	}
+	droppedEverywhere := r.class.Idempotency == policy.IdempotentByKey && r.class.DedupScope == policy.DedupEverywhere
+	for earlier := range record.possiblyExecuted {
+		switch {
+		case !droppedEverywhere:
+			o.violation(ruleNoRepeat, "class %s: a request that may have been executed was rejected", r.class.Name)
+			return
+		case o.emulation.now > earlier.sentAt+r.class.DedupWindow:
+			o.violation(ruleNoRepeat, "class %s: a request that may have been executed was rejected beyond the dedup window", r.class.Name)
+			return
+		}
 	}
 }
 
--- a/internal/emulator/observer_test.go
+++ b/internal/emulator/observer_test.go
@@ -106,6 +106,12 @@
 			o.send(r, 0)
 			o.observer.requestAnswered(r, answerRejected)
 		}, "rule 2: class cell-keyed: a request that may have been executed was rejected"},
+		"rejected after the dedup window": {func(o *observed) {
+			r := o.receive(keyed)
+			o.send(r, 0)
+			o.now += 150 * ms
+			o.observer.requestAnswered(r, answerRejected)
+		}, "rule 2: class keyed: a request that may have been executed was rejected beyond the dedup window"},
 		"reported as not executed": {func(o *observed) {
 			a := o.send(o.receive(safe), 0)
 			o.observer.attemptExecuted(a)
@@ -162,6 +168,10 @@
 	o.send(keyed, 2)
 	o.observer.requestAnswered(keyed, answerServed)
 
+	rejected := o.receive(policy.Class{Name: "keyed", Idempotency: policy.IdempotentByKey, DedupWindow: time.Second})
+	o.send(rejected, 0)
+	o.observer.requestAnswered(rejected, answerRejected)
+
 	o.observer.finish()
 	if e.Result.ViolationCount > 0 {
 		t.Error(e.Result.Violations)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -272,7 +272,7 @@
 	if r.queuedUntil > 0 {
 		b.dequeue(r)
 	}
-	if reason.retryHelps() && rejectionSafe(r) {
+	if reason.retryHelps() && b.retries.rejectionSafe(now, r) {
 		act.Reject(r.ID, b.retryAfter(now, r))
 	} else {
 		act.Fail(r.ID)
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -49,7 +49,7 @@
 // A request also ends if no endpoint may get an attempt, if its attempts failed
 // and no retry is allowed, or if a response would be too late to be of use.
 // endReason lists these cases. The request ends with Actions.Reject if a retry
-// by the client could help and is harmless (rejectionSafe in retry.go).
+// by the client could help and is harmless (retryPolicy.rejectionSafe in retry.go).
 // Otherwise it ends with Actions.Fail.
 //
 // # Endpoint selection
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -97,7 +97,7 @@
 	case NonIdempotent:
 		return DeniedNotIdempotent
 	case IdempotentByKey:
-		if now >= earlier.sentAt+c.DedupWindow-p.dedupMargin {
+		if p.dedupWindowExpired(now, c, earlier) {
 			return DeniedDedupWindowExpired
 		}
 		if c.DedupScope == DedupZone && earlier.zone != e.Zone || c.DedupScope == DedupCell && earlier.cell != e.Cell {
@@ -112,13 +112,21 @@
 	return b.retries.attemptDenial(now, r, e) == AttemptAllowed
 }
 
-// rejectionSafe reports whether r may be rejected. A rejection tells the client that a retry is harmless. This holds if the class is
-// idempotent, if all endpoints drop repeats, or if no attempt can have been executed.
-func rejectionSafe(r *request) bool {
-	if r.class.Idempotency == Idempotent || r.class.Idempotency == IdempotentByKey && r.class.DedupScope == DedupEverywhere {
+// rejectionSafe reports whether r may be rejected at now. A rejection tells the client that a retry is harmless. This holds if the class is
+// idempotent, if no attempt can have been executed, or if all endpoints still drop repeats of those that can.
+func (p retryPolicy) rejectionSafe(now Time, r *request) bool {
+	if r.class.Idempotency == Idempotent {
 		return true
 	}
-	return !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.notExecuted })
+	droppedEverywhere := r.class.Idempotency == IdempotentByKey && r.class.DedupScope == DedupEverywhere
+	return !slices.ContainsFunc(r.attempts, func(a attempt) bool {
+		return !a.notExecuted && (!droppedEverywhere || p.dedupWindowExpired(now, r.class, &a))
+	})
+}
+
+// dedupWindowExpired reports whether a repeat that is decided at now may arrive after the dedup window of an earlier attempt.
+func (p retryPolicy) dedupWindowExpired(now Time, c *classState, earlier *attempt) bool {
+	return now >= earlier.sentAt+c.DedupWindow-p.dedupMargin
 }
 
 // NotExecuted reports whether s proves that the attempt was not executed.
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -43,12 +43,45 @@
 		if !slices.Equal(allowed, tt.allowed) {
 			t.Errorf("%s after %v: second attempt allowed at %v, want %v", tt.class, tt.first, allowed, tt.allowed)
 		}
-		if got := rejectionSafe(r); got != tt.rejectable {
+		if got := b.retries.rejectionSafe(0, r); got != tt.rejectable {
 			t.Errorf("%s after %v: rejectionSafe = %v, want %v", tt.class, tt.first, got, tt.rejectable)
 		}
 	}
 }
 
+// TestRejectionWithinDedupWindow guards against rejecting a keyed request after the dedup window of an attempt that may have been executed. The
+// client would repeat it, and it would be executed again.
+func TestRejectionWithinDedupWindow(t *testing.T) {
+	policy := retryPolicy{maxAttempts: 3, dedupMargin: 10 * time.Millisecond}
+	keyed := &classState{Class: Class{Idempotency: IdempotentByKey, DedupScope: DedupEverywhere, DedupWindow: 100 * time.Millisecond}}
+	safe := &classState{Class: Class{Idempotency: Idempotent}}
+	attempts := func(sentAt ...Time) []attempt {
+		var all []attempt
+		for _, at := range sentAt {
+			all = append(all, attempt{sentAt: at})
+		}
+		return all
+	}
+	for name, tt := range map[string]struct {
+		class    *classState
+		attempts []attempt
+		now      Time
+		want     bool
+	}{
+		"within the window":              {keyed, attempts(0), 90*time.Millisecond - 1, true},
+		"within the margin":              {keyed, attempts(0), 90 * time.Millisecond, false},
+		"after the window":               {keyed, attempts(0), time.Second, false},
+		"after the window of the first":  {keyed, attempts(0, 50*time.Millisecond), 95 * time.Millisecond, false},
+		"after the window, not executed": {keyed, []attempt{{notExecuted: true}}, time.Second, true},
+		"no attempt":                     {keyed, nil, time.Second, true},
+		"idempotent":                     {safe, attempts(0), time.Second, true},
+	} {
+		if got := policy.rejectionSafe(tt.now, &request{class: tt.class, attempts: tt.attempts}); got != tt.want {
+			t.Errorf("%s: rejectionSafe = %v, want %v", name, got, tt.want)
+		}
+	}
+}
+
 // TestNoHedgingWhereForbidden guards against a second attempt in flight where hedging is not allowed.
 func TestNoHedgingWhereForbidden(t *testing.T) {
 	cfg := testConfig()
