A request with little time waits for other probes than that of a slow server

Cause: handleSampleReply took the first sampled server that is idle, whatever its expected latency, also where the client would be gone by then; and the latency expected of an idle server is half of what it takes, as it may work on two attempts at once. Evidence: expected latencies over 200 answers of 500 ms, in a scratch test: 250 ms at the least whatever the other server does. Why it works: where the client's time ends within the aim, a sampled server needs twice its expected latency within that time; else the replies of the others are waited for. Requests whose clients wait beyond the aim go as before. TestSlowSampleBeforeExpiry fails before.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		r.sampleReplies++
-		admissible := reported && !b.exceedsLimit(now, r, e)
+		admissible := reported && !b.exceedsLimit(now, r, e) && !b.mayExpire(now, r, e)
 		if r.sampleReplies == len(r.sampled) && b.localZoneOnly && !admissible && b.healthChecks.canAffordRound() {
 			r.sampled = b.startSamplingRound(now, r, b.readyEndpoints[b.subsetSize:], act) // the local zone is full
 			continue
@@ -206,6 +206,12 @@
 	}
 }
 
+// mayExpire reports whether r could expire before e responds although it has no more time left than its objective. Latencies vary around the
+// expected value, and a response after the client has given up is of no use. A request with more time left would still be answered late.
+func (b *Balancer) mayExpire(now Time, r *request, e *endpoint) bool {
+	return r.Expires <= r.objectiveDeadline && now+safeLatencyFactor*b.expectedLatency(now, e) > r.Expires
+}
+
 // resolveQueued ends the wait of r when no sampled endpoint was within its limit. r is admitted or rejected by the expected latency.
 func (b *Balancer) resolveQueued(now Time, r *request, act Actions) {
 	b.dequeue(r)
--- a/policy/admission_test.go
+++ b/policy/admission_test.go
@@ -25,6 +25,39 @@
 	}
 }
 
+// TestSlowSampleBeforeExpiry guards against sending a request to the first endpoint that replies to its sampling round although its client gives
+// up before a response of that endpoint can be expected. The endpoint responds in 500 ms, but is expected to take about half of that, since
+// it may process two attempts at once.
+func TestSlowSampleBeforeExpiry(t *testing.T) {
+	const short = 180 * time.Millisecond // less than the latency objective of the class
+	b, rec := newTestBalancer(t, testConfig(), 2)
+	now, id := Time(0), RequestID(1)
+	for range 40 {
+		respond(b, rec, now, id, "s0", 5*time.Millisecond)
+		respond(b, rec, now, id+1, "s1", 500*time.Millisecond)
+		now, id = now+500*time.Millisecond, id+2
+	}
+	for _, client := range []struct {
+		timeout time.Duration
+		want    EndpointID
+	}{{short, "s0"}, {time.Second, "s1"}} { // a client with more time may get a late response
+		b.healthChecks.credit = sampleSize
+		for _, e := range b.readyEndpoints {
+			e.marked, e.hasReport, e.reportedQueue = false, true, 0
+		}
+		b.HandleRequest(now, Request{ID: id, Class: "safe", Expires: now + client.timeout}, rec)
+		rec.take("")
+		for _, e := range []EndpointID{"s1", "s0"} { // in this order
+			b.HandleHealthCheck(now, HealthCheckResult{Endpoint: e, Load: &LoadReport{}}, rec)
+		}
+		if got, want := rec.take("send"), fmt.Sprintf("send %d %s", id, client.want); !slices.Equal(got, []string{want}) {
+			t.Errorf("client that waits for %v: got %v, want %s", client.timeout, got, want)
+		}
+		b.HandleAttemptResult(now, AttemptResult{ID: id, Endpoint: client.want, Status: StatusCanceled, RequestEnded: true}, rec)
+		id++
+	}
+}
+
 // TestRequestWaitsForSample guards against three failures: a request is rejected without evidence of a long queue because health checks
 // are lost, a request is sent to a queue that is known to be long, and a request still waits after all replies have arrived.
 func TestRequestWaitsForSample(t *testing.T) {
