--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -16,12 +16,8 @@
 	"sorrelrudder/policy"
 )
 
-const (
-	// connBufferBytes is the size of a connection's read buffer and of its write buffer. Most heads and responses fit.
-	connBufferBytes = 4 << 10
-	// dialTimeWeight is the weight of a new dial in the moving average of a peer's dial time.
-	dialTimeWeight = 0.2
-)
+// connBufferBytes is the size of a connection's read buffer and of its write buffer. Most heads and responses fit.
+const connBufferBytes = 4 << 10
 
 // Descriptors is the budget of file descriptors for the connections of a pool.
 type Descriptors interface {
@@ -69,7 +65,7 @@
 // Connect returns an idle connection to p, or opens one, for an exchange that must end by the deadline. The error is a NoDescriptorError
 // if this process lacked a resource to open a connection, and otherwise the error of the dial.
 func (u *ConnPool) Connect(ctx context.Context, p *Peer, deadline time.Time) (*Conn, error) {
-	c := u.takeIdle(ctx, p, deadline)
+	c := u.takeIdle(p)
 	if c == nil {
 		var err error
 		c, err = u.open(ctx, p, deadline)
@@ -82,16 +78,6 @@
 	return c, nil
 }
 
-// recordDialTime adds the duration of a dial to the moving average of p.
-func (u *ConnPool) recordDialTime(p *Peer, took time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if p.dialTime == 0 {
-		p.dialTime = took
-	}
-	p.dialTime += time.Duration(dialTimeWeight * float64(took-p.dialTime))
-}
-
 // open opens a connection to p. It returns the errors of Connect.
 func (u *ConnPool) open(ctx context.Context, p *Peer, deadline time.Time) (*Conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, earlier(deadline, time.Now().Add(u.dialTimeout)))
@@ -101,9 +87,7 @@
 		return nil, NoDescriptorError{Err: err}
 	}
 	u.dialCount.Add(1)
-	started := time.Now()
 	nc, err := u.dial(ctx, p.addr)
-	u.recordDialTime(p, time.Since(started))
 	if err != nil {
 		release()
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -38,10 +38,10 @@
 // takeIdle returns a usable idle connection to p, or nil if there is none. It discards connections that the endpoint has closed or on
 // which it has sent unsolicited data: a request on the former would end with a reset, and on the latter the client would get a response
 // that is not its own.
-func (u *ConnPool) takeIdle(ctx context.Context, p *Peer, deadline time.Time) *Conn {
+func (u *ConnPool) takeIdle(p *Peer) *Conn {
 	for {
 		c := u.popIdle(p)
-		if c == nil || !u.awaitReusable(ctx, c, deadline) {
+		if c == nil {
 			return nil
 		}
 		if time.Since(c.idleSince) < u.idleTimeout && c.nothingToRead() {
@@ -51,42 +51,16 @@
 	}
 }
 
-// awaitReusable waits until c has been idle for minIdleBeforeReuse or the deadline is reached. If ctx is done before, it makes c idle again
-// and returns false.
-func (u *ConnPool) awaitReusable(ctx context.Context, c *Conn, deadline time.Time) bool {
-	wait := min(c.untilReusable(), time.Until(deadline))
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-	}
-	if !u.pushIdle(c) {
-		c.Discard()
-	}
-	return false
-}
-
-// untilReusable returns how long c must still be idle before it may be reused; 0 or less: it may be reused.
-func (c *Conn) untilReusable() time.Duration { return minIdleBeforeReuse - time.Since(c.idleSince) }
-
-// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse. If there is none, it
-// returns the least recently used one if waiting until it may be reused is expected to take less than opening another, and otherwise nil.
+// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse. It returns nil if
+// there is none.
 func (u *ConnPool) popIdle(p *Peer) *Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
-	}
 	i := len(p.idle) - 1
-	for i > 0 && p.idle[i].untilReusable() > 0 {
+	for i >= 0 && time.Since(p.idle[i].idleSince) < minIdleBeforeReuse {
 		i--
 	}
-	if p.idle[i].untilReusable() > p.dialTime {
+	if i < 0 {
 		return nil
 	}
 	c := p.idle[i]
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -1,10 +1,6 @@
 package upstream
 
-import (
-	"time"
-
-	"sorrelrudder/policy"
-)
+import "sorrelrudder/policy"
 
 // Peer is one process of an endpoint, at one address. An endpoint that restarts or moves gets a new Peer.
 type Peer struct {
@@ -14,8 +10,6 @@
 	// Guarded by ConnPool.mu.
 	retired bool    // it is no longer on the endpoint list; its connections are not kept
 	idle    []*Conn // least recently used first
-	// dialTime is a moving average of how long it takes to open a connection; 0: not known. It includes dials that failed or timed out.
-	dialTime time.Duration
 }
 
 // NewPeer returns the process of an endpoint that listens at addr and was started at the given time, in the decision module's time; 0
