TestServerAbortsConnection sends until both servers have an idle connection

Cause: the test sent eight requests so that each of two servers would have an idle connection, but the sidecar chooses at random where health checks are off. Evidence: a scratch copy that prints how many servers had been used: 1 of 2 in each of 4 failures. The sidecar is not at fault. Now the test sends until both servers have answered; the check is as strict as before.

--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -72,9 +72,10 @@
 // the unexpected result.
 func checkAbortedResponse(t *testing.T, partial string, closeConn func(net.Conn), class string, idle bool) error {
 	t.Helper()
+	const servers = 2
 	var mu sync.Mutex
 	abortNext, abortedOnNew, runs := !idle, false, 0
-	used := map[net.Conn]bool{}
+	used, usedServers := map[net.Conn]bool{}, map[string]bool{}
 	f := func(c net.Conn, q *http.Request, b []byte) {
 		mu.Lock()
 		isTarget := q.Header.Get("X-Request-Id") == "asked"
@@ -84,7 +85,7 @@
 		}
 		abortNext = abortNext && !aborts
 		abortedOnNew = abortedOnNew || aborts && !used[c]
-		used[c] = true
+		used[c], usedServers[c.LocalAddr().String()] = true, true
 		mu.Unlock()
 		if aborts {
 			send(c, partial)
@@ -99,7 +100,12 @@
 	s := start(t, cfg)
 	c := s.dial(t)
 	if idle {
-		for i := range 8 { // so that each server has an idle connection
+		usedAll := func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(usedServers) == servers
+		}
+		for i := 0; !usedAll(); i++ { // the sidecar chooses at random; each server needs an idle connection
 			if status, _ := c.roundTrip(t, get(strconv.Itoa(i))); status != 200 {
 				return fmt.Errorf("request before the aborted one: got status %d, want 200", status)
 			}
