A request may follow a health check on its connection at once

Cause: the rest was asked for after each kind of response, but a second copy of a load report is the one kind that can be told from the response to a request: by its body. Now the connection of a health check that was answered with a load report is reused at once for a request of the platform's protocol. Receive skips responses that differ from that report in their numbers at most, after the rest too. Connections that have rested are preferred. Health checks, HEAD, long bodies and pools of HTTP services, whose responses may be anything, wait for the rest as before. Why the rule holds: what is skipped is no response to a request, and the request's own one is still to come on that connection.

--- a/internal/pool/attempt_run.go
+++ b/internal/pool/attempt_run.go
@@ -49,7 +49,7 @@
 		p.failAttempt(a, policy.StatusCanceled, nil)
 		return nil
 	}
-	conn, err := p.conns.Connect(ctx, peer, a.deadline)
+	conn, err := p.conns.Connect(ctx, peer, p.connPurpose(a), a.deadline)
 	if err != nil {
 		p.completeBroken(a, upstream.NotWrittenError{Err: err})
 		return nil
@@ -62,6 +62,16 @@
 	return conn
 }
 
+// connPurpose returns what the connection of an attempt is used for. Only the platform's protocol tells load reports from the responses to
+// requests, and only by their bodies. A long body is not sent where an unexpected response may come, since that ends it.
+func (p *Pool) connPurpose(a *attempt) upstream.Purpose {
+	r := a.request
+	if p.protocol != nil || r.method == http.MethodHead || r.streamedBody != nil {
+		return upstream.ForRequest
+	}
+	return upstream.ForDistinctRequest
+}
+
 // upstreamRequest returns the request to send to the endpoint.
 func (p *Pool) upstreamRequest(a *attempt) *upstream.Request {
 	r := a.request
--- a/internal/pool/healthcheck.go
+++ b/internal/pool/healthcheck.go
@@ -67,7 +67,7 @@
 // healthCheck sends a health check to an endpoint: a request for its load report, or for the health check target of the BackendProtocol. It
 // returns the result of the check and the load report, which is nil if there is none. The caller does not hold mu.
 func (p *Pool) healthCheck(peer *upstream.Peer) (policy.Status, *policy.LoadReport) {
-	conn, err := p.conns.Connect(context.Background(), peer, time.Now().Add(healthCheckTimeout))
+	conn, err := p.conns.Connect(context.Background(), peer, upstream.ForHealthCheck, time.Now().Add(healthCheckTimeout))
 	var noDescriptor upstream.NoDescriptorError
 	switch {
 	case errors.As(err, &noDescriptor):
@@ -88,12 +88,22 @@
 		conn.Discard()
 		return brokenHealthCheck(err), nil
 	}
-	if response.Close || len(body) == maxLoadReportBytes {
+	status, load := p.classifyHealthCheck(response, body)
+	p.releaseHealthCheckConn(conn, response, body, load)
+	return status, load
+}
+
+// releaseHealthCheckConn keeps the connection of a health check for reuse if the response was read completely and the endpoint does not
+// close the connection. Otherwise it closes the connection.
+func (p *Pool) releaseHealthCheckConn(conn *upstream.Conn, response *http.Response, body []byte, load *policy.LoadReport) {
+	switch {
+	case response.Close || len(body) == maxLoadReportBytes:
 		conn.Discard()
-	} else {
+	case p.protocol == nil && load != nil && response.ContentLength == int64(len(body)):
+		p.conns.PutIdleAfterHealthCheck(conn, body)
+	default:
 		p.conns.PutIdle(conn)
 	}
-	return p.classifyHealthCheck(response, body)
 }
 
 // brokenHealthCheck returns the result of a health check that ended with err before a complete response.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,8 @@
 	deadline      time.Time // of the current exchange
 	responseBegun bool      // the first byte of the response has been received
 	idleSince     time.Time
+	// lastLoadReport is the body of the last response if that was a load report and Receive skips its copies, otherwise nil.
+	lastLoadReport []byte
 }
 
 // Read implements net.Conn. It enforces the read budget, and sets the deadline for the rest of the head at the first byte of a response.
@@ -77,7 +79,7 @@
 	return nil
 }
 
-// Receive reads the head of the response to q, which was sent last. It skips interim responses.
+// Receive reads the head of the response to q, which was sent last. It skips interim responses and second copies of the load report before.
 func (c *Conn) Receive(q *Request) (*http.Response, error) {
 	c.readBudget = maxHeadBytes
 	var request *http.Request
@@ -90,7 +92,13 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			stale, err := c.isLoadReportCopy(response)
+			if err != nil {
+				return nil, err
+			}
+			if !stale {
+				return response, nil
+			}
 		}
 		c.responseBegun = c.reader.Buffered() > 0
 		if !c.responseBegun { // the final response has until the deadline of the exchange to begin
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -62,10 +62,22 @@
 // DialCount returns the number of dials so far, including failed ones.
 func (u *ConnPool) DialCount() int64 { return u.dialCount.Load() }
 
+// Purpose is what a connection is used for next.
+type Purpose int
+
+const (
+	// ForHealthCheck is a health check.
+	ForHealthCheck Purpose = iota
+	// ForRequest is a client's request.
+	ForRequest
+	// ForDistinctRequest is a client's request whose response can be told from a load report by its body.
+	ForDistinctRequest
+)
+
 // Connect returns an idle connection to p, or opens one, for an exchange that must end by the deadline. The error is a NoDescriptorError
 // if this process lacked a resource to open a connection, and otherwise the error of the dial.
-func (u *ConnPool) Connect(ctx context.Context, p *Peer, deadline time.Time) (*Conn, error) {
-	c := u.takeIdle(p)
+func (u *ConnPool) Connect(ctx context.Context, p *Peer, purpose Purpose, deadline time.Time) (*Conn, error) {
+	c := u.takeIdle(p, purpose)
 	if c == nil {
 		var err error
 		c, err = u.open(ctx, p, deadline)
@@ -73,6 +85,9 @@
 			return nil, err
 		}
 	}
+	if purpose != ForDistinctRequest {
+		c.lastLoadReport = nil
+	}
 	c.deadline, c.responseBegun = deadline, false
 	c.SetDeadline(deadline)
 	return c, nil
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -35,12 +35,12 @@
 	return timeout
 }
 
-// takeIdle returns a usable idle connection to p, or nil if there is none. It discards connections that the endpoint has closed or on
-// which it has sent unsolicited data: a request on the former would end with a reset, and on the latter the client would get a response
-// that is not its own.
-func (u *ConnPool) takeIdle(p *Peer) *Conn {
+// takeIdle returns an idle connection to p for the purpose, or nil if there is none. It discards connections that the endpoint has closed
+// or on which it has sent unsolicited data: a request on the former would end with a reset, and on the latter the client would get a
+// response that is not its own.
+func (u *ConnPool) takeIdle(p *Peer, purpose Purpose) *Conn {
 	for {
-		c := u.popIdle(p)
+		c := u.popIdle(p, purpose)
 		if c == nil {
 			return nil
 		}
@@ -51,14 +51,14 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse. It returns nil if
-// there is none.
-func (u *ConnPool) popIdle(p *Peer) *Conn {
+// popIdle removes and returns the most recently used idle connection to p that has been idle for minIdleBeforeReuse. If there is none, it
+// removes and returns the most recently used one that the purpose allows to reuse earlier, or returns nil.
+func (u *ConnPool) popIdle(p *Peer, purpose Purpose) *Conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	i := len(p.idle) - 1
-	for i >= 0 && time.Since(p.idle[i].idleSince) < minIdleBeforeReuse {
-		i--
+	i := lastIndexFunc(p.idle, func(c *Conn) bool { return time.Since(c.idleSince) >= minIdleBeforeReuse })
+	if i < 0 && purpose == ForDistinctRequest {
+		i = lastIndexFunc(p.idle, func(c *Conn) bool { return c.lastLoadReport != nil })
 	}
 	if i < 0 {
 		return nil
@@ -68,6 +68,16 @@
 	return c
 }
 
+// lastIndexFunc returns the index of the last connection that satisfies f, or -1 if none does.
+func lastIndexFunc(conns []*Conn, f func(*Conn) bool) int {
+	for i, c := range slices.Backward(conns) {
+		if f(c) {
+			return i
+		}
+	}
+	return -1
+}
+
 // setIdle replaces the idle connections of p. The caller holds mu.
 func (u *ConnPool) setIdle(p *Peer, idle []*Conn) {
 	p.idle = idle
@@ -80,7 +90,14 @@
 
 // PutIdle keeps c for reuse. It closes c if connections are not kept for long enough to be reused, if descriptors are scarce, if the peer
 // is retired, or if data follows the response. Data that arrives later is detected by takeIdle.
-func (u *ConnPool) PutIdle(c *Conn) {
+func (u *ConnPool) PutIdle(c *Conn) { u.putIdle(c, nil) }
+
+// PutIdleAfterHealthCheck is PutIdle for a connection on which a health check was answered with the given load report. A late second copy
+// of that response can be told from the response to a distinct request, so the connection may be reused for one at once.
+func (u *ConnPool) PutIdleAfterHealthCheck(c *Conn, loadReport []byte) { u.putIdle(c, loadReport) }
+
+func (u *ConnPool) putIdle(c *Conn, loadReport []byte) {
+	c.lastLoadReport = loadReport
 	if u.idleTimeout <= minIdleBeforeReuse || u.descriptors.Scarce() || c.reader.Buffered() > 0 {
 		c.Discard()
 		return
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -64,7 +64,13 @@
 // mustConnect returns a connection to p that the test closes.
 func mustConnect(t *testing.T, u *ConnPool, p *Peer) *Conn {
 	t.Helper()
-	c, err := u.Connect(t.Context(), p, time.Now().Add(testTimeout))
+	return mustConnectFor(t, u, p, ForRequest)
+}
+
+// mustConnectFor returns a connection to p for the purpose: an idle one or a new one. The test closes it.
+func mustConnectFor(t *testing.T, u *ConnPool, p *Peer, purpose Purpose) *Conn {
+	t.Helper()
+	c, err := u.Connect(t.Context(), p, purpose, time.Now().Add(testTimeout))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -52,7 +52,7 @@
 	up := New(policy.Config{DialTimeout: time.Second}, noDescriptors{})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := up.Connect(ctx, NewPeer("127.0.0.1:1", 0), time.Now().Add(time.Minute))
+	_, err := up.Connect(ctx, NewPeer("127.0.0.1:1", 0), ForHealthCheck, time.Now().Add(time.Minute))
 	var want NoDescriptorError
 	if !errors.As(err, &want) {
 		t.Errorf("Connect without a descriptor returned %v, want a NoDescriptorError", err)
