A request waits for an idle connection where that is short for its server

Each peer has a moving average of its response times. If the oldest idle connection can be reused within a fifth of that, a request waits for it, and it is reserved; else another is opened. Health checks, whose latency is looked at, don't wait.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,7 +29,9 @@
 	reader        *bufio.Reader
 	writer        *bufio.Writer
 	readBudget    int       // how many more bytes of the current response may be read
+	purpose       Purpose   // of the current exchange
 	deadline      time.Time // of the current exchange
+	sentAt        time.Time // when the current exchange's request was sent
 	responseBegun bool      // the first byte of the response has been received
 	idleSince     time.Time
 	// lastLoadReport is the body of the last response if that was a load report and Receive skips its copies, otherwise nil.
@@ -76,6 +78,7 @@
 	if err := q.write(c.writer); err != nil {
 		return NotWrittenError{Err: err}
 	}
+	c.sentAt = time.Now()
 	return nil
 }
 
@@ -97,6 +100,7 @@
 				return nil, err
 			}
 			if !stale {
+				c.observeResponse(q, response)
 				return response, nil
 			}
 		}
--- a/internal/upstream/connpool.go
+++ b/internal/upstream/connpool.go
@@ -78,6 +78,9 @@
 // if this process lacked a resource to open a connection, and otherwise the error of the dial.
 func (u *ConnPool) Connect(ctx context.Context, p *Peer, purpose Purpose, deadline time.Time) (*Conn, error) {
 	c := u.takeIdle(p, purpose)
+	if c == nil && purpose != ForHealthCheck {
+		c = u.awaitReusable(ctx, p)
+	}
 	if c == nil {
 		var err error
 		c, err = u.open(ctx, p, deadline)
@@ -88,7 +91,7 @@
 	if purpose != ForDistinctRequest {
 		c.lastLoadReport = nil
 	}
-	c.deadline, c.responseBegun = deadline, false
+	c.purpose, c.deadline, c.responseBegun = purpose, deadline, false
 	c.SetDeadline(deadline)
 	return c, nil
 }
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -7,6 +7,8 @@
 	addr    string
 	started policy.Time
 
+	responseTime responseTime
+
 	// Guarded by ConnPool.mu.
 	retired bool    // it is no longer on the endpoint list; its connections are not kept
 	idle    []*Conn // least recently used first
