An upload over HTTP/2 is not read after its handler has returned

Cause: multiplexedConn.ServeHTTP returned as the client left or the answer was written, while the attempt's goroutine went on to read the body and set a deadline at the http.ResponseWriter, which must not be used then. Over HTTP/1.1 upload.stop sees to that. Both kinds of connection use upload now: a body that can be read and interrupted. ServeHTTP stops it before it returns, whatever ends the request; once stop has returned no goroutine reads the body.

--- a/internal/downstream/body.go
+++ b/internal/downstream/body.go
@@ -47,6 +47,9 @@
 // Length implements httpmsg.BodyStream.
 func (b *bodyReader) Length() int64 { return b.length }
 
+// interrupt implements uploadBody.
+func (b *bodyReader) interrupt() { b.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // Read implements httpmsg.BodyStream. It blocks only until at least one byte is available.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	if b.ended {
--- a/internal/downstream/multiplexed.go
+++ b/internal/downstream/multiplexed.go
@@ -95,7 +95,10 @@
 		writeStreamRejection(w, r, err)
 		return
 	}
-	x, err := dispatchStream(w, r, request, admitted)
+	x, remainder, err := dispatchStream(w, r, request, admitted)
+	if remainder != nil {
+		defer remainder.stop() // a Read after ServeHTTP has returned would use w, which must not be used any more
+	}
 	if err != nil {
 		writeStreamRejection(w, r, err)
 		return
@@ -110,18 +113,24 @@
 	}
 }
 
-// dispatchStream reads the body of a request, or the first part of a long one, and dispatches the request.
-func dispatchStream(w http.ResponseWriter, r *http.Request, request *httpmsg.Request, admitted AdmittedRequest) (Exchange, error) {
+// dispatchStream reads the body of a request, or the first part of a long one, and dispatches the request. remainder is the rest of a long
+// body, which the caller must stop, and nil for others.
+func dispatchStream(
+	w http.ResponseWriter, r *http.Request, request *httpmsg.Request, admitted AdmittedRequest,
+) (x Exchange, remainder *upload, err error) {
 	body := newStreamBody(w, r, request.Length)
 	first, more, err := body.readFirst()
 	if err != nil {
 		admitted.Release()
-		return nil, err
+		return nil, nil, err
 	}
-	if more {
-		return admitted.Dispatch(first, body)
+	if !more {
+		x, err = admitted.Dispatch(first, nil)
+		return x, nil, err
 	}
-	return admitted.Dispatch(first, nil)
+	remainder = newUpload(body)
+	x, err = admitted.Dispatch(first, remainder)
+	return x, remainder, err
 }
 
 // setPool records the pool of the connection's first request as the pool of the connection.
--- a/internal/downstream/multiplexed_body.go
+++ b/internal/downstream/multiplexed_body.go
@@ -9,7 +9,7 @@
 )
 
 // streamBody is the body of a request on a multiplexed connection. It enforces the same limits as bodyReader. It implements
-// httpmsg.BodyStream.
+// httpmsg.BodyStream. It must not be read after the request's http.Handler has returned, which ends the use of the http.ResponseWriter.
 type streamBody struct {
 	request  *http.Request
 	control  *http.ResponseController
@@ -26,6 +26,9 @@
 // Length implements httpmsg.BodyStream.
 func (b *streamBody) Length() int64 { return b.length }
 
+// interrupt implements uploadBody. It must not be called after the request's http.Handler has returned.
+func (b *streamBody) interrupt() { _ = b.control.SetReadDeadline(time.Unix(1, 0)) } // fails only if the stream has ended, and Read with it
+
 // readFirst reads the body, or the first httpmsg.MaxBufferedBodyBytes of a longer one, and reports whether more may follow.
 func (b *streamBody) readFirst() (body []byte, more bool, err error) {
 	if b.length == 0 {
--- a/internal/downstream/upload.go
+++ b/internal/downstream/upload.go
@@ -6,15 +6,24 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sorrelrudder/internal/httpmsg"
 )
 
 // errResponseSent is returned by reads of an upload whose request already has its response.
 var errResponseSent = errors.New("request body not read to its end: the response has already been received")
 
+// uploadBody is a request's body that is read as it arrives.
+type uploadBody interface {
+	httpmsg.BodyStream
+	// interrupt makes a Read that waits for the client return. It may be called concurrently with Read.
+	interrupt()
+}
+
 // upload is the remainder of a request's body. The goroutine that sends the body to an endpoint reads it while the connection's goroutine
 // waits for the response. It implements httpmsg.BodyStream.
 type upload struct {
-	*bodyReader
+	body     uploadBody
 	stopping atomic.Bool
 	done     chan struct{} // closed once reading has ended, with the body complete or not
 
@@ -22,7 +31,10 @@
 	err error      // error that ended reading; io.EOF: the body is complete
 }
 
-func newUpload(b *bodyReader) *upload { return &upload{bodyReader: b, done: make(chan struct{})} }
+func newUpload(b uploadBody) *upload { return &upload{body: b, done: make(chan struct{})} }
+
+// Length implements httpmsg.BodyStream.
+func (u *upload) Length() int64 { return u.body.Length() }
 
 // Read implements httpmsg.BodyStream.
 func (u *upload) Read(p []byte) (int, error) {
@@ -34,7 +46,7 @@
 	if u.stopping.Load() {
 		return 0, u.finish(errResponseSent)
 	}
-	n, err := u.bodyReader.Read(p)
+	n, err := u.body.Read(p)
 	if err == nil {
 		return n, nil
 	}
@@ -54,13 +66,13 @@
 	return err
 }
 
-// stop ends reading, and reports whether the body was complete. Once it returns, no goroutine reads the body from the connection.
+// stop ends reading, and reports whether the body was complete. Once it returns, no goroutine reads the body any more.
 func (u *upload) stop() (complete bool) {
 	u.stopping.Store(true)
 	// A concurrent Read may set its own deadline after the one below. It then either sees stopping, or is interrupted by the next
 	// iteration.
 	for {
-		u.conn.SetReadDeadline(time.Unix(1, 0))
+		u.body.interrupt()
 		if u.mu.TryLock() {
 			break
 		}
