The log says when requests wait for the processor, are late, not admitted, or evicted

The excerpts of the flooded nodes' logs have no line of it: a served answer that was late, a refusal by a limit and an eviction were not logged, and nothing said how busy the process was.

--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -153,7 +153,7 @@
 	"internal/keepalive":    {},
 	"internal/downstream":   {"internal/keepalive", "internal/limitedlog", "internal/httpmsg", "internal/process"},
 	"internal/gateway": {
-		"internal/keepalive",
+		"internal/keepalive", "internal/limitedlog",
 		"policy", "internal/admin", "internal/metrics", "internal/downstream", "internal/httpmsg", "internal/pool", "internal/process", "internal/route", "internal/settings",
 		"internal/quota", "internal/discovery", "internal/upstream",
 	},
--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -118,12 +118,18 @@
 		if !process.NothingToRead(c.Conn) { // its goroutine is about to read a request or the end of the stream
 			continue
 		}
+		s.logEviction(c)
 		s.requestClose(c)
 		return true
 	}
 	return false
 }
 
+// logEviction logs that c is closed to free its descriptor. The caller holds mu.
+func (s *Server) logEviction(c *clientConn) {
+	s.events.Info("connection evicted", "from", c.RemoteAddr().String(), "responses", c.responses, "waited_ms", time.Since(c.listedSince).Milliseconds())
+}
+
 // evictStalledRead closes the connection with an incomplete request that has received no bytes for the longest time, if that time is at
 // least stalledReadAge. It searches at most maxStalledScan connections. The caller holds mu.
 func (s *Server) evictStalledRead() bool {
@@ -138,6 +144,7 @@
 	if stalled == nil {
 		return false
 	}
+	s.logEviction(stalled)
 	s.requestClose(stalled)
 	return true
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -52,6 +52,7 @@
 	if d := q.admission.Admit(now, p.id, bytes); d.Reason != quota.Admitted {
 		rejection := p.rejection(d)
 		g.counters.RecordOutcome(parsed.Class(), metrics.OutcomeOfStatus(rejection.Status))
+		g.events.Info("request not admitted", "request", parsed.RequestID(), "class", parsed.Class(), "status", rejection.Status, "reason", rejection.Text)
 		return nil, id, rejection
 	}
 	return &admittedRequest{gateway: g, instance: p, request: r, parsed: parsed, reservedBytes: bytes}, id, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"sorrelrudder/internal/admin"
 	"sorrelrudder/internal/downstream"
+	"sorrelrudder/internal/limitedlog"
 	"sorrelrudder/internal/metrics"
 	"sorrelrudder/internal/process"
 	"sorrelrudder/internal/quota"
@@ -29,6 +30,7 @@
 // Gateway is one proxy process. Its methods are safe for concurrent use.
 type Gateway struct {
 	log          *slog.Logger
+	events       *limitedlog.Logger // what happens to single requests
 	descriptors  *process.Descriptors
 	bufferMemory *process.BufferMemory // of long bodies
 	clientServer *downstream.Server    // serves the connections of clients
@@ -74,6 +76,7 @@
 func NewWithOptions(cfg Config, log *slog.Logger, o Options) (*Gateway, error) {
 	g := &Gateway{
 		log:           log,
+		events:        limitedlog.New(log),
 		descriptors:   process.NewDescriptors(cfg.Descriptors),
 		bufferMemory:  &process.BufferMemory{},
 		extension:     o.Extension,
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -16,6 +16,7 @@
 // Listen must be called before Run. The error is always nil.
 func (g *Gateway) Run(ctx context.Context) error {
 	go g.measureSchedulingLag()
+	go g.logRunnableWaits()
 	defer g.Close()
 	<-ctx.Done()
 	g.shutDown()
--- a/internal/pool/parse.go
+++ b/internal/pool/parse.go
@@ -43,6 +43,9 @@
 // Class returns the request's class.
 func (r *ParsedRequest) Class() string { return r.policyRequest.Class }
 
+// RequestID returns the request's X-Request-ID, or what stands for it.
+func (r *ParsedRequest) RequestID() string { return r.requestID }
+
 // ParseRequest parses the head of a request. path is the request's path without the prefix of the route. With the platform's protocol, its
 // first segment is the class. The error is an httpmsg.RejectionError.
 func (p *Pool) ParseRequest(q *httpmsg.Request, path string) (ParsedRequest, error) {
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -138,14 +138,17 @@
 		p.metrics.RecordOutcome(r.policyRequest.Class, outcome)
 	}
 	p.stats.Add(p.requestStat(r, outcome), 1)
-	if outcome != metrics.Succeeded {
-		p.logUnserved(r, response.Status)
+	switch {
+	case outcome != metrics.Succeeded:
+		p.logRequest("request not served", r, response.Status)
+	case p.clock.now() > r.policyRequest.Expires:
+		p.logRequest("request served late", r, response.Status)
 	}
 	r.response <- response
 }
 
-// logUnserved logs the end of a request that is not served, with the results of its attempts. The caller holds mu.
-func (p *Pool) logUnserved(r *request, status int) {
+// logRequest logs the end of a request, with the results of its attempts. The caller holds mu.
+func (p *Pool) logRequest(message string, r *request, status int) {
 	results := make([]string, len(r.attempts))
 	for i, a := range r.attempts {
 		results[i] = string(a.endpoint) + ": in flight"
@@ -153,7 +156,7 @@
 			results[i] = string(a.endpoint) + ": " + a.status.String()
 		}
 	}
-	p.events.Info("request not served", "request", r.xRequestID, "class", r.policyRequest.Class, "status", status,
+	p.events.Info(message, "request", r.xRequestID, "class", r.policyRequest.Class, "status", status,
 		"after_ms", (p.clock.now() - r.acceptedAt).Milliseconds(), "timeout_ms", r.timeout.Milliseconds(), "attempts", strings.Join(results, ", "))
 }
 
