Health checks and rejections of all connections together take a tenth of the time

Cause: a connection whose requests are always there and need no endpoint never waits, so its goroutine stays runnable. The pause of 0.2 ms after 2 ms was each connection's own: with two or more, one of them is always runnable. The runtime polls the network only when nothing is, so each step of every other request (accept, read, dial, answer) waited for the monitor thread's poll and then behind the run queue. The pauses leave the processor idle in between, however many connections there are. The pause of each connection for itself is gone.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -20,7 +20,6 @@
 	releaseDescriptor func()
 	reader            *requestReader
 	lastRead          atomic.Int64 // time of the last read that returned bytes, in nanoseconds since processStart
-	busySince         atomic.Int64 // time of the last wait for the client, in nanoseconds since processStart
 
 	// Only the connection's goroutine uses the fields below.
 	watchTimer       *time.Timer // used by awaitResponse
@@ -45,27 +44,21 @@
 
 func newClientConn(conn net.Conn, listener *serverListener, release func()) *clientConn {
 	c := &clientConn{Conn: conn, listener: listener, releaseDescriptor: release}
-	c.busySince.Store(int64(time.Since(processStart)))
 	c.reader = newRequestReader(readRecorder{c})
 	return c
 }
 
-// processStart is the zero time of clientConn.lastRead and clientConn.busySince.
+// processStart is the zero time of clientConn.lastRead.
 var processStart = time.Now()
 
-// readRecorder reads from a connection, and records in lastRead when bytes arrived, and in busySince when they had to be waited for.
+// readRecorder reads from a connection, and records in lastRead when bytes arrived.
 type readRecorder struct{ conn *clientConn }
 
 // Read implements io.Reader.
 func (r readRecorder) Read(p []byte) (int, error) {
-	begin := time.Since(processStart)
 	n, err := r.conn.Read(p)
-	end := time.Since(processStart)
 	if n > 0 {
-		r.conn.lastRead.Store(int64(end))
-	}
-	if end-begin >= busyPause {
-		r.conn.busySince.Store(int64(end))
+		r.conn.lastRead.Store(int64(time.Since(processStart)))
 	}
 	return n, err
 }
@@ -115,6 +108,7 @@
 	}
 	var backoff readBackoff
 	for s.awaitRequest(c) {
+		begin := time.Now()
 		r, err := c.reader.readRequest()
 		if err != nil {
 			s.rejectUnreadable(c, err)
@@ -127,26 +121,19 @@
 			return
 		}
 		malformedDelay := backoff.record(outcome)
-		if delay := max(malformedDelay, s.handler.ReadDelay(c.pool, backoff.rejected)); delay > 0 {
+		delay := max(malformedDelay, s.handler.ReadDelay(c.pool, backoff.rejected))
+		if outcome.local {
+			delay = max(delay, s.recordLocalWork(c, begin))
+		}
+		if delay > 0 {
 			time.Sleep(delay)
 		}
-		c.giveWay()
 		if !s.markIdle(c) {
 			return
 		}
 	}
 }
 
-// giveWay pauses for busyPause if requests of the connection have been served for maxBusyTime without a wait for the client. A client whose
-// requests are always there and need no endpoint, such as health checks, would else keep the process from looking at other connections for
-// whole time slices.
-func (c *clientConn) giveWay() {
-	if time.Since(processStart)-time.Duration(c.busySince.Load()) >= maxBusyTime {
-		time.Sleep(busyPause)
-		c.busySince.Store(int64(time.Since(processStart)))
-	}
-}
-
 // readBackoff counts the consecutive requests of a connection that were not admitted.
 type readBackoff struct {
 	malformed int // consecutive malformed requests
--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -15,6 +15,7 @@
 type requestOutcome struct {
 	status   int  // status of the response; 0: no response was written
 	admitted bool // the request was not rejected
+	local    bool // the response needed no endpoint
 	keepOpen bool // another request may follow
 }
 
@@ -22,7 +23,7 @@
 func (s *Server) handleRequest(c *clientConn, r *clientRequest) requestOutcome {
 	if r.Path == healthPath && r.Method == http.MethodGet {
 		open := s.writeResponse(c, &httpmsg.Response{Status: http.StatusOK}, r.closesConnection) && c.reader.skipBody(c, r)
-		return requestOutcome{status: http.StatusOK, admitted: true, keepOpen: open}
+		return requestOutcome{status: http.StatusOK, admitted: true, local: true, keepOpen: open}
 	}
 	s.setPeer(c, r)
 	admitted, id, err := s.handler.Admit(&r.Request)
@@ -62,13 +63,27 @@
 
 // finishExchange waits for the response to r and writes it. The body of r must have been read completely.
 func (s *Server) finishExchange(c *clientConn, r *clientRequest, x Exchange) requestOutcome {
-	resp, clientConnected := c.awaitResponse(x)
-	c.busySince.Store(int64(time.Since(processStart)))
-	if !clientConnected {
-		discard(resp)
-		return requestOutcome{admitted: true}
+	resp, rejected := immediateResponse(x)
+	if !rejected {
+		var clientConnected bool
+		resp, clientConnected = c.awaitResponse(x)
+		if !clientConnected {
+			discard(resp)
+			return requestOutcome{admitted: true}
+		}
+	}
+	return requestOutcome{status: resp.Status, admitted: true, local: rejected, keepOpen: s.writeResponse(c, &resp, r.closesConnection)}
+}
+
+// immediateResponse returns the response of x if it is there as soon as x has been dispatched: the handler has rejected the request without
+// an endpoint.
+func immediateResponse(x Exchange) (resp httpmsg.Response, rejected bool) {
+	select {
+	case resp = <-x.Response():
+		return resp, true
+	default:
+		return resp, false
 	}
-	return requestOutcome{status: resp.Status, admitted: true, keepOpen: s.writeResponse(c, &resp, r.closesConnection)}
 }
 
 // handleStreamedRequest continues handleRequest for a body that is forwarded while it is being received. Reading the body shows whether the
@@ -141,7 +156,7 @@
 	errors.As(err, &rejection)
 	resp := rejection.Response()
 	open := s.writeResponse(c, &resp, r.closesConnection || !r.bodySkippable())
-	return requestOutcome{status: rejection.Status, keepOpen: open}
+	return requestOutcome{status: rejection.Status, local: true, keepOpen: open}
 }
 
 // rejectUnreadable responds to a request that could not be read, unless the client has closed the connection. The caller closes the
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -14,9 +14,6 @@
 	// endpoint and a file descriptor by sending a byte now and then.
 	minBodyBytesPerSecond = 32 << 10
 	bodyRateGrace         = 1500 * time.Millisecond
-	// maxBusyTime is how long the requests of a connection are served without a wait for its client; a pause of busyPause follows.
-	maxBusyTime = 2 * time.Millisecond
-	busyPause   = 200 * time.Microsecond
 	// receivedPollInterval is how often the connection of a body that has no memory left is checked for the rest of the body.
 	receivedPollInterval = 20 * time.Millisecond
 	// maxHeaderBytes bounds a request's header.
@@ -51,6 +48,17 @@
 	maxLingerBytes = 256 << 10
 )
 
+// Work that never waits; see workThrottle.
+const (
+	// maxThrottlePause bounds a pause, which adds to the latency of the next request on the connection.
+	maxThrottlePause = 50 * time.Millisecond
+	// localWorkShare is the share of the time for requests that need no endpoint: health checks and rejections.
+	localWorkShare = 0.1
+	localWorkBurst = 10 * time.Millisecond
+	// maxLocalWork bounds what counts for one of these requests. A longer one has waited for its client or for the processor.
+	maxLocalWork = time.Millisecond
+)
+
 // Watching clients.
 const (
 	// clientWatchDelay is how long a request is open before its connection is watched for a close by the client. A watch costs as much CPU
--- a/internal/downstream/multiplexed.go
+++ b/internal/downstream/multiplexed.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -76,16 +77,54 @@
 	server *Server
 	conn   *clientConn
 
-	mu        sync.Mutex // guards poolKnown, and is held while the pool is set; acquired before Server.mu
+	mu        sync.Mutex // guards the fields below, and is held while the pool is set; acquired before Server.mu
 	poolKnown bool
+	pausedTo  time.Time // requests are not looked at before
 }
 
 // ServeHTTP implements http.Handler.
 func (m *multiplexedConn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !m.awaitPause(r.Context()) {
+		return
+	}
+	begin := time.Now()
+	if local := m.serve(w, r); local {
+		m.pause(m.server.recordLocalWork(m.conn, begin))
+	}
+}
+
+// awaitPause waits until the connection is not paused, and reports whether the request is still open.
+func (m *multiplexedConn) awaitPause(request context.Context) bool {
+	m.mu.Lock()
+	pause := time.Until(m.pausedTo)
+	m.mu.Unlock()
+	if pause <= 0 {
+		return true
+	}
+	select {
+	case <-request.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+// pause makes further requests of the connection wait.
+func (m *multiplexedConn) pause(pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pausedTo = time.Now().Add(pause)
+}
+
+// serve serves a request, and reports whether the response needed no endpoint.
+func (m *multiplexedConn) serve(w http.ResponseWriter, r *http.Request) (local bool) {
 	request, err := newStreamRequest(r, m.conn.RemoteAddr())
 	if err != nil {
 		writeStreamRejection(w, r, err)
-		return
+		return true
 	}
 	request.Secure = m.conn.listener.TLS != nil
 	request.ClientGone = func() bool { return r.Context().Err() != nil }
@@ -93,7 +132,7 @@
 	m.setPool(id)
 	if err != nil {
 		writeStreamRejection(w, r, err)
-		return
+		return true
 	}
 	x, remainder, err := m.server.dispatchStream(w, r, request, admitted)
 	if remainder != nil {
@@ -102,16 +141,21 @@
 	}
 	if err != nil {
 		writeStreamRejection(w, r, err)
-		return
+		return true
 	}
-	select {
-	case resp := <-x.Response():
-		writeStreamResponse(w, r, &resp, m.server.options.BufferMemory)
-	case <-r.Context().Done():
-		if !x.Cancel() {
-			discard(<-x.Response())
+	resp, rejected := immediateResponse(x)
+	if !rejected {
+		select {
+		case resp = <-x.Response():
+		case <-r.Context().Done():
+			if !x.Cancel() {
+				discard(<-x.Response())
+			}
+			return false
 		}
 	}
+	writeStreamResponse(w, r, &resp, m.server.options.BufferMemory)
+	return rejected
 }
 
 // dispatchStream reads the body of a request, or the first part of a long one, and dispatches the request. remainder is the rest of a long
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -48,7 +48,8 @@
 	log         *slog.Logger
 	events      *limitedlog.Logger // what happens on single connections
 	options     Options
-	clockStart  time.Time      // zero time of idlePolicy's clock
+	clockStart  time.Time    // zero time of the clock of idlePolicy and localWork
+	localWork   workThrottle // requests that need no endpoint
 	goroutines  sync.WaitGroup // goroutines of the connections
 
 	// mu guards the fields below, and the fields of clientConn and serverListener whose comments say so. The Handler methods that are
@@ -89,6 +90,7 @@
 		events:      limitedlog.New(log),
 		options:     o,
 		clockStart:  time.Now(),
+		localWork:   workThrottle{share: localWorkShare, burst: localWorkBurst},
 		idlePolicy:  keepalive.New(d.MaxClients()),
 		listeners:   map[net.Listener]*serverListener{},
 		conns:       map[*clientConn]struct{}{},
@@ -96,7 +98,7 @@
 	}
 }
 
-// now returns the current time on the clock of idlePolicy.
+// now returns the current time on the clock of idlePolicy and localWork.
 func (s *Server) now() time.Duration { return time.Since(s.clockStart) }
 
 // ConnectionCount returns the number of open connections.
--- /dev/null
+++ b/internal/downstream/throttle.go
@@ -0,0 +1,36 @@
+package downstream
+
+import (
+	"sync"
+	"time"
+)
+
+// workThrottle bounds the share of the time that all connections of a server together spend on one kind of work that never waits. Such work
+// keeps goroutines runnable, and the runtime polls the network only when none is: without the bound, other connections would wait. It is a
+// leaky bucket, and safe for concurrent use.
+type workThrottle struct {
+	share float64       // of the time
+	burst time.Duration // contents of the bucket that cause no pauses
+
+	mu      sync.Mutex
+	emptyAt time.Duration // when the bucket will be empty, on the clock of the caller
+}
+
+// record adds work that took spent and ended at now. It returns how long its connection must pause before it does more of it.
+func (t *workThrottle) record(now, spent time.Duration) (pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.emptyAt = max(t.emptyAt, now) + time.Duration(float64(spent)/t.share)
+	t.emptyAt = min(t.emptyAt, now+t.burst+maxThrottlePause)
+	return max(0, t.emptyAt-now-t.burst)
+}
+
+// recordLocalWork records the work since begin on a request from a client that needed no endpoint. It returns how long the connection must
+// pause before its next request.
+func (s *Server) recordLocalWork(c *clientConn, begin time.Time) (pause time.Duration) {
+	pause = s.localWork.record(s.now(), min(time.Since(begin), maxLocalWork))
+	if pause > 0 {
+		s.events.Info("client throttled", "from", c.RemoteAddr().String(), "pause_ms", pause.Milliseconds())
+	}
+	return pause
+}
--- /dev/null
+++ b/internal/downstream/throttle_test.go
@@ -0,0 +1,43 @@
+package downstream
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWorkThrottle guards against connections that together take more than their share of the time, however many there are, and against a
+// pause of a connection that takes little.
+func TestWorkThrottle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const divisor, playTime, burst, maxWork = 10, time.Second, 10 * time.Millisecond, time.Millisecond
+		throttle := workThrottle{share: 1.0 / divisor, burst: burst}
+		work := time.Duration(rapid.IntRange(50_000, int(maxWork)).Draw(t, "work"))
+		most := int(maxThrottlePause / (work * divisor)) // more connections than that exceed the share in spite of the longest pause
+		resume := make([]time.Duration, rapid.IntRange(1, most).Draw(t, "connections"))
+		now, spent := time.Duration(0), time.Duration(0)
+		for now < playTime {
+			next := 0
+			for i, at := range resume {
+				if at < resume[next] {
+					next = i
+				}
+			}
+			now = max(now, resume[next]) + work // there is one processor
+			spent += work
+			pause := throttle.record(now, work)
+			if pause < 0 || pause > maxThrottlePause {
+				t.Fatalf("pause of %v, want 0 to %v", pause, maxThrottlePause)
+			}
+			resume[next] = now + pause
+		}
+		if limit := now/divisor + burst/divisor + time.Duration(len(resume))*work; spent > limit {
+			t.Fatalf("%v of %v spent by %d connections, want at most %v", spent, now, len(resume), limit)
+		}
+		now += time.Second
+		if pause := throttle.record(now, work); pause > max(0, work*divisor-burst) {
+			t.Fatalf("pause of %v after a second without work", pause)
+		}
+	})
+}
