Connections whose clients have already left no longer hold up the connections behind them

Cause: the kernel's backlog fills with connections whose clients are gone, since they do not wait to be accepted. Each was registered, given a goroutine and read, at some 0.3 ms; a new connection of another client waited behind up to 4,096 of them. Change: in a burst (over 20 connections in 10 ms) a connection that its client has closed is closed at once, unread; nobody waits for its answer. A client that closes its sending side outside of bursts is served as before. A throttled connection whose client has gone, or while descriptors are short, is closed between two requests instead of paused.

--- a/internal/downstream/accept.go
+++ b/internal/downstream/accept.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
+	"sync"
 	"time"
 
 	"sorrelrudder/internal/process"
@@ -44,6 +46,12 @@
 		}
 		conn, err := ln.Accept()
 		switch {
+		case err == nil && s.accepts.record(s.now()) && process.PeerClosed(conn):
+			conn.Close() // it would only delay the connections behind it in the backlog
+			release()
+			s.events.Info("connection closed by its client before it was accepted", "from", conn.RemoteAddr().String())
+			runtime.Gosched()
+			continue
 		case err == nil:
 			process.LimitSendBuffer(conn)
 			c := newClientConn(conn, listener, release)
@@ -64,6 +72,24 @@
 	}
 }
 
+// acceptRate recognizes bursts of connections. It is safe for concurrent use.
+type acceptRate struct {
+	mu       sync.Mutex
+	begin    time.Duration // of the current interval
+	accepted int           // connections since begin
+}
+
+// record counts a connection that is accepted at now, and reports whether it belongs to a burst.
+func (r *acceptRate) record(now time.Duration) (burst bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now-r.begin >= acceptRateInterval {
+		r.begin, r.accepted = now, 0
+	}
+	r.accepted++
+	return r.accepted > maxAcceptsWithoutBurst
+}
+
 // register adds a new connection to the server and starts its wait for the first request.
 func (s *Server) register(c *clientConn) {
 	s.mu.Lock()
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -123,7 +123,11 @@
 		malformedDelay := backoff.record(outcome)
 		delay := max(malformedDelay, s.handler.ReadDelay(c.pool, backoff.rejected))
 		if outcome.local {
-			delay = max(delay, s.recordLocalWork(c, begin))
+			pause := s.recordLocalWork(c, begin)
+			if pause > 0 && (c.clientGone() || s.descriptorsShort()) {
+				return
+			}
+			delay = max(delay, pause)
 		}
 		if delay > 0 {
 			time.Sleep(delay)
--- a/internal/downstream/evict.go
+++ b/internal/downstream/evict.go
@@ -51,6 +51,13 @@
 	return s.evictFromPools(exceeding) || s.evictFirst(newest, 0) || s.evictFromPools(within)
 }
 
+// descriptorsShort reports whether connections are about to be evicted for want of descriptors.
+func (s *Server) descriptorsShort() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idlePolicy.ShouldEvictAhead(s.now())
+}
+
 // poolsByExcess returns the pools that have idle connections: those that exceed their quota, and those within it. Both are in descending
 // order of excess. The caller holds mu.
 func (s *Server) poolsByExcess() (exceeding, within []PoolID) {
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -73,6 +73,9 @@
 const (
 	// acceptRetryDelay is the wait after a temporary error of Accept, such as a lack of file descriptors.
 	acceptRetryDelay = 10 * time.Millisecond
+	// More than maxAcceptsWithoutBurst connections in an acceptRateInterval are a burst.
+	acceptRateInterval     = 10 * time.Millisecond
+	maxAcceptsWithoutBurst = 20
 	// newConnGrace is the age from which a connection without a request is among the first to be evicted. Younger ones are spared at first,
 	// because their first request is about to arrive; see Server.Evict.
 	newConnGrace = 100 * time.Millisecond
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -48,8 +48,9 @@
 	log         *slog.Logger
 	events      *limitedlog.Logger // what happens on single connections
 	options     Options
-	clockStart  time.Time    // zero time of the clock of idlePolicy and localWork
+	clockStart  time.Time    // zero time of the clock of idlePolicy, localWork and accepts
 	localWork   workThrottle // requests that need no endpoint
+	accepts     acceptRate
 	goroutines  sync.WaitGroup // goroutines of the connections
 
 	// mu guards the fields below, and the fields of clientConn and serverListener whose comments say so. The Handler methods that are
@@ -98,7 +99,7 @@
 	}
 }
 
-// now returns the current time on the clock of idlePolicy and localWork.
+// now returns the current time on the clock of idlePolicy, localWork and accepts.
 func (s *Server) now() time.Duration { return time.Since(s.clockStart) }
 
 // ConnectionCount returns the number of open connections.
