Long bodies between fast peers leave a fifth of the time to other clients

Cause: the same class as the flood of health checks. A part of a long body that need not be waited for keeps its goroutine runnable; with several such bodies the run queue is never empty, and the runtime does not poll the network. Change: parts that took under 0.5 ms (a longer one has waited) are counted in a leaky bucket for all long bodies of a server; beyond 0.8 of the time the transfer pauses, 10 ms at most. It holds for responses and uploads, to and from the client and to the endpoint, over HTTP/1.1 and HTTP/2.

--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -41,7 +41,7 @@
 	}
 	s.markActive(c)
 	if remainder != nil {
-		return s.handleStreamedRequest(c, r, admitted, body, newUpload(remainder, s.options.BufferMemory))
+		return s.handleStreamedRequest(c, r, admitted, body, newUpload(remainder, s.options.BufferMemory, s.transfers))
 	}
 	x, err := admitted.Dispatch(body, nil)
 	if err != nil {
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -50,13 +50,19 @@
 
 // Work that never waits; see workThrottle.
 const (
-	// maxThrottlePause bounds a pause, which adds to the latency of the next request on the connection.
-	maxThrottlePause = 50 * time.Millisecond
 	// localWorkShare is the share of the time for requests that need no endpoint: health checks and rejections.
 	localWorkShare = 0.1
 	localWorkBurst = 10 * time.Millisecond
+	// maxLocalWorkPause adds to the latency of the next request on the connection.
+	maxLocalWorkPause = 50 * time.Millisecond
 	// maxLocalWork bounds what counts for one of these requests. A longer one has waited for its client or for the processor.
 	maxLocalWork = time.Millisecond
+	// transferShare is the share of the time for the parts of long bodies that need not be waited for.
+	transferShare    = 0.8
+	transferBurst    = time.Millisecond
+	maxTransferPause = 10 * time.Millisecond
+	// maxTransferStep is the time above which a part of a long body has been waited for.
+	maxTransferStep = 500 * time.Microsecond
 )
 
 // Watching clients.
--- a/internal/downstream/multiplexed.go
+++ b/internal/downstream/multiplexed.go
@@ -154,7 +154,7 @@
 			return false
 		}
 	}
-	writeStreamResponse(w, r, &resp, m.server.options.BufferMemory)
+	writeStreamResponse(w, r, &resp, m.server)
 	return rejected
 }
 
@@ -173,7 +173,7 @@
 		x, err = admitted.Dispatch(first, nil)
 		return x, nil, err
 	}
-	remainder = newUpload(body, s.options.BufferMemory)
+	remainder = newUpload(body, s.options.BufferMemory, s.transfers)
 	x, err = admitted.Dispatch(first, remainder)
 	return x, remainder, err
 }
--- a/internal/downstream/multiplexed_response.go
+++ b/internal/downstream/multiplexed_response.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"sorrelrudder/internal/httpmsg"
-	"sorrelrudder/internal/process"
 )
 
 // writeStreamRejection responds to a request that was not dispatched. It resets the stream if err is not an httpmsg.RejectionError, which
@@ -22,8 +21,8 @@
 }
 
 // writeStreamResponse writes a response. If the response cannot be completed, it resets the stream, so that the client can detect the
-// truncation. A remainder passes through a buffer from memory. writeStreamResponse clears resp.Body, as Server.writeResponse does.
-func writeStreamResponse(w http.ResponseWriter, r *http.Request, resp *httpmsg.Response, memory *process.BufferMemory) {
+// truncation. server may be nil if resp has no remainder. writeStreamResponse clears resp.Body, as Server.writeResponse does.
+func writeStreamResponse(w http.ResponseWriter, r *http.Request, resp *httpmsg.Response, server *Server) {
 	headRequest := r.Method == http.MethodHead
 	setStreamHeader(w.Header(), resp, headRequest)
 	setStreamWriteDeadline(w, writeTimeout)
@@ -36,7 +35,7 @@
 	resp.Body = nil
 	if resp.Remainder != nil {
 		if err == nil {
-			err = copyStreamRemainder(w, resp.Remainder, memory)
+			err = copyStreamRemainder(w, resp.Remainder, server)
 		}
 		resp.Remainder.Close(err == nil)
 	}
@@ -65,9 +64,9 @@
 }
 
 // copyStreamRemainder writes the remainder of a response's body as it arrives, and flushes after each write.
-func copyStreamRemainder(w http.ResponseWriter, remainder httpmsg.ResponseStream, memory *process.BufferMemory) error {
+func copyStreamRemainder(w http.ResponseWriter, remainder httpmsg.ResponseStream, server *Server) error {
 	control := http.NewResponseController(w)
-	return copyRemainder(remainder, memory, func(p []byte) error {
+	return server.copyRemainder(remainder, func(p []byte) error {
 		setStreamWriteDeadline(w, streamWriteTimeout)
 		if _, err := w.Write(p); err != nil {
 			return err
--- a/internal/downstream/response.go
+++ b/internal/downstream/response.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"sorrelrudder/internal/httpmsg"
-	"sorrelrudder/internal/process"
 )
 
 // writeResponse writes a response, and reports whether another request may follow on c. If last is true, the connection closes after the
@@ -161,7 +160,7 @@
 func (s *Server) writeRemainder(c *clientConn, remainder httpmsg.ResponseStream, f responseFraming) error {
 	s.setCloseDelimited(c, f.length < 0 && !f.chunked)
 	defer s.setCloseDelimited(c, false)
-	err := copyRemainder(remainder, s.options.BufferMemory, func(p []byte) error {
+	err := s.copyRemainder(remainder, func(p []byte) error {
 		c.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 		return c.writePart(p, f.chunked)
 	})
@@ -190,10 +189,12 @@
 }
 
 // copyRemainder reads a body until its end, and passes each part to write as it arrives. It returns nil at the end of the body.
-func copyRemainder(from httpmsg.BodyStream, memory *process.BufferMemory, write func(p []byte) error) error {
+func (s *Server) copyRemainder(from httpmsg.BodyStream, write func(p []byte) error) error {
+	memory := s.options.BufferMemory
 	buffer := newStreamBuffer(memory)
 	defer buffer.release(memory)
 	for {
+		begin := time.Now()
 		n, err := from.Read(buffer.bytes)
 		if n > 0 {
 			if werr := write(buffer.bytes[:n]); werr != nil {
@@ -206,6 +207,7 @@
 		case err != nil:
 			return err
 		}
+		s.transfers.pause(begin)
 	}
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -50,6 +50,7 @@
 	options     Options
 	clockStart  time.Time    // zero time of the clock of idlePolicy, localWork and accepts
 	localWork   workThrottle // requests that need no endpoint
+	transfers   *transferThrottle
 	accepts     acceptRate
 	goroutines  sync.WaitGroup // goroutines of the connections
 
@@ -91,7 +92,8 @@
 		events:      limitedlog.New(log),
 		options:     o,
 		clockStart:  time.Now(),
-		localWork:   workThrottle{share: localWorkShare, burst: localWorkBurst},
+		localWork:   workThrottle{share: localWorkShare, burst: localWorkBurst, maxPause: maxLocalWorkPause},
+		transfers:   newTransferThrottle(),
 		idlePolicy:  keepalive.New(d.MaxClients()),
 		listeners:   map[net.Listener]*serverListener{},
 		conns:       map[*clientConn]struct{}{},
--- a/internal/downstream/throttle.go
+++ b/internal/downstream/throttle.go
@@ -9,8 +9,9 @@
 // keeps goroutines runnable, and the runtime polls the network only when none is: without the bound, other connections would wait. It is a
 // leaky bucket, and safe for concurrent use.
 type workThrottle struct {
-	share float64       // of the time
-	burst time.Duration // contents of the bucket that cause no pauses
+	share    float64       // of the time
+	burst    time.Duration // contents of the bucket that cause no pauses
+	maxPause time.Duration
 
 	mu      sync.Mutex
 	emptyAt time.Duration // when the bucket will be empty, on the clock of the caller
@@ -21,7 +22,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.emptyAt = max(t.emptyAt, now) + time.Duration(float64(spent)/t.share)
-	t.emptyAt = min(t.emptyAt, now+t.burst+maxThrottlePause)
+	t.emptyAt = min(t.emptyAt, now+t.burst+t.maxPause)
 	return max(0, t.emptyAt-now-t.burst)
 }
 
@@ -34,3 +35,21 @@
 	}
 	return pause
 }
+
+// transferThrottle bounds the time for the parts of long bodies that need not be waited for. It is safe for concurrent use.
+type transferThrottle struct{ work workThrottle }
+
+func newTransferThrottle() *transferThrottle {
+	return &transferThrottle{workThrottle{share: transferShare, burst: transferBurst, maxPause: maxTransferPause}}
+}
+
+// pause records a part of a body whose transfer began at begin, and pauses if all long bodies together take too much of the time.
+func (t *transferThrottle) pause(begin time.Time) {
+	spent := time.Since(begin)
+	if spent > maxTransferStep {
+		return
+	}
+	if pause := t.work.record(time.Since(processStart), spent); pause > 0 {
+		time.Sleep(pause)
+	}
+}
--- a/internal/downstream/upload.go
+++ b/internal/downstream/upload.go
@@ -38,6 +38,7 @@
 type upload struct {
 	body     uploadBody
 	memory   *process.BufferMemory
+	throttle *transferThrottle
 	stopping atomic.Bool
 	done     chan struct{} // closed once receiving has ended, with the body complete or not
 
@@ -45,6 +46,7 @@
 	changed  sync.Cond // blocks or err have changed, or the upload stops
 	blocks   []*uploadBlock
 	lastPart int       // length of the part that the last call of Next returned
+	takenAt  time.Time // when it returned that part; only Next uses it
 	held     int64     // bytes of the blocks
 	err      error     // error that ended receiving; io.EOF: the body is complete
 	endedAt  time.Time // when the last byte was received, or err was set; zero: not yet
@@ -52,8 +54,8 @@
 }
 
 // newUpload starts to receive a body. The caller must call stop.
-func newUpload(b uploadBody, memory *process.BufferMemory) *upload {
-	u := &upload{body: b, memory: memory, done: make(chan struct{})}
+func newUpload(b uploadBody, memory *process.BufferMemory, throttle *transferThrottle) *upload {
+	u := &upload{body: b, memory: memory, throttle: throttle, done: make(chan struct{})}
 	u.changed.L = &u.mu
 	go u.receive()
 	return u
@@ -74,7 +76,12 @@
 func (u *upload) Next() ([]byte, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.releasePart()
+	if u.lastPart > 0 {
+		u.releasePart()
+		u.mu.Unlock()
+		u.throttle.pause(u.takenAt)
+		u.mu.Lock()
+	}
 	for u.nothingToTake() && u.err == nil {
 		u.changed.Wait()
 	}
@@ -83,15 +90,12 @@
 	}
 	first := u.blocks[0]
 	part := first.bytes[first.start:first.end]
-	u.lastPart = len(part)
+	u.lastPart, u.takenAt = len(part), time.Now()
 	return part, nil
 }
 
 // releasePart makes room for the part that the last call of Next returned. The caller holds mu.
 func (u *upload) releasePart() {
-	if u.lastPart == 0 {
-		return
-	}
 	u.blocks[0].start += u.lastPart
 	u.lastPart = 0
 	if u.blocks[0].empty() && len(u.blocks) > 1 {
@@ -112,12 +116,14 @@
 			u.finish(errResponseSent)
 			return
 		}
+		begin := time.Now()
 		n, err := u.body.Read(block.bytes[block.end:])
 		u.extend(block, n)
 		if err != nil {
 			u.finish(err)
 			return
 		}
+		u.throttle.pause(begin)
 	}
 }
 
