Connections that pause for the throttle leave descriptors to other clients

Cause: bursts accepted while their clients were still there paused up to 50 ms each, at some 10,000 a second ('client throttled ... left_out=10598'), and held all descriptors; then idle and new connections of others were evicted ('connection evicted ... waited_ms=0'). Change: an eighth of the client connections may pause at once; a further one is closed between two requests, as while descriptors are short.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -122,12 +122,8 @@
 		}
 		malformedDelay := backoff.record(outcome)
 		delay := max(malformedDelay, s.handler.ReadDelay(c.pool, backoff.rejected))
-		if outcome.local {
-			pause := s.recordLocalWork(c, begin)
-			if pause > 0 && (c.clientGone() || s.descriptorsShort()) {
-				return
-			}
-			delay = max(delay, pause)
+		if outcome.local && !s.throttle(c, begin) {
+			return
 		}
 		if delay > 0 {
 			time.Sleep(delay)
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -55,6 +55,9 @@
 	localWorkBurst = 10 * time.Millisecond
 	// maxLocalWorkPause adds to the latency of the next request on the connection.
 	maxLocalWorkPause = 50 * time.Millisecond
+	minLoggedPause    = time.Millisecond
+	// maxPausedDivisor divides the number of client connections to get the number of those that may pause at once.
+	maxPausedDivisor = 8
 	// maxLocalWork bounds what counts for one of these requests. A longer one has waited for its client or for the processor.
 	maxLocalWork = time.Millisecond
 	// transferShare is the share of the time for the parts of long bodies that need not be waited for.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sorrelrudder/internal/keepalive"
@@ -52,6 +53,7 @@
 	localWork   workThrottle // requests that need no endpoint
 	transfers   *transferThrottle
 	accepts     acceptRate
+	pausedConns atomic.Int64   // connections that pause for localWork
 	goroutines  sync.WaitGroup // goroutines of the connections
 
 	// mu guards the fields below, and the fields of clientConn and serverListener whose comments say so. The Handler methods that are
--- a/internal/downstream/throttle.go
+++ b/internal/downstream/throttle.go
@@ -30,12 +30,28 @@
 // pause before its next request.
 func (s *Server) recordLocalWork(c *clientConn, begin time.Time) (pause time.Duration) {
 	pause = s.localWork.record(s.now(), min(time.Since(begin), maxLocalWork))
-	if pause > 0 {
+	if pause >= minLoggedPause {
 		s.events.Info("client throttled", "from", c.RemoteAddr().String(), "pause_ms", pause.Milliseconds())
 	}
 	return pause
 }
 
+// throttle calls recordLocalWork and pauses. It reports whether c may stay open: its client may have left, and connections that pause must
+// leave descriptors to others.
+func (s *Server) throttle(c *clientConn, begin time.Time) (keepOpen bool) {
+	pause := s.recordLocalWork(c, begin)
+	if pause == 0 {
+		return true
+	}
+	paused := s.pausedConns.Add(1)
+	defer s.pausedConns.Add(-1)
+	if paused > max(1, s.descriptors.MaxClients()/maxPausedDivisor) || c.clientGone() || s.descriptorsShort() {
+		return false
+	}
+	time.Sleep(pause)
+	return true
+}
+
 // transferThrottle bounds the time for the parts of long bodies that need not be waited for. It is safe for concurrent use.
 type transferThrottle struct{ work workThrottle }
 
