HTTP/2 frames that serve no request take a tenth of the time at most

Cause: the class of this incident: the reader of such a connection always has a frame and stays runnable, so the network is not polled. Only requests that were rejected were counted so far, not the frames. Change: what follows each read of such a connection is counted in a leaky bucket for all of them (0.1 ms at most a read); the reader pauses beyond it. Reads of requests that are served, and of parts of their bodies, are earned back, so that sound traffic is not slowed; canceled and rejected requests earn nothing. The client of the flood tests moved to internal/fake, for both programs' tests. TestMultiplexedUploadEndsWithHandler builds its connection by the new constructor.

--- a/cmd/sidecar/flood_test.go
+++ b/cmd/sidecar/flood_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -71,18 +70,21 @@
 	for i := range p.floods {
 		all.Go(func() { p.flood(until, addresses, i) })
 	}
-	results := make([]clientResults, clients)
+	client := fake.RegularClient{Addr: addresses.clients, Patience: p.timeout + answerSlack}
+	results := make([]fake.RegularResults, clients)
 	for i := range clients {
-		all.Go(func() { results[i] = askRegularly(addresses.clients, fmt.Sprint("client", i), p.timeout, end) })
+		all.Go(func() {
+			results[i] = client.Run(until, func(n int) string { return requestHead("check", fmt.Sprint("client", i, "-", n), p.timeout) + "\r\n" })
+		})
 	}
 	all.Wait()
-	total := mergeClientResults(results)
+	total := fake.MergeRegularResults(results...)
 	peak := process.peakMemoryMB(t)
 	t.Logf("%v; %d MB at the most", total, peak)
-	if total.unanswered > 0 {
-		t.Errorf("%d requests were not answered", total.unanswered)
+	if total.Unanswered > 0 {
+		t.Errorf("%d requests were not answered", total.Unanswered)
 	}
-	if last := total.latencies[len(total.latencies)-1]; last > p.timeout {
+	if last := total.Last(); last > p.timeout {
 		t.Errorf("an answer took %v, want at most %v", last, p.timeout)
 	}
 	if peak > memoryMB {
@@ -197,97 +199,3 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 }
-
-// clientResults are the results of the requests of one client, or of several.
-type clientResults struct {
-	latencies  []time.Duration // of the answers, in ascending order once they are merged
-	statuses   map[int]int     // answers by status
-	unanswered int             // requests without an answer answerSlack after their time, or on a new connection that was closed
-}
-
-// mergeClientResults returns the results of several clients as one.
-func mergeClientResults(all []clientResults) clientResults {
-	total := clientResults{statuses: map[int]int{}}
-	for _, r := range all {
-		total.latencies = append(total.latencies, r.latencies...)
-		total.unanswered += r.unanswered
-		for status, n := range r.statuses {
-			total.statuses[status] += n
-		}
-	}
-	slices.Sort(total.latencies)
-	return total
-}
-
-// String implements fmt.Stringer.
-func (r clientResults) String() string {
-	n := len(r.latencies)
-	if n == 0 {
-		return "no answers"
-	}
-	return fmt.Sprintf("%d answers, median %v, 99%% %v, last %v, by status %v, %d unanswered",
-		n, r.latencies[n/2], r.latencies[n*99/100], r.latencies[n-1], r.statuses, r.unanswered)
-}
-
-// askRegularly sends a request every 50 ms until end, as an ordinary client. A request on a kept connection that ends with no answer is sent
-// once more on a new one, since the sidecar may close a connection between two requests; its time goes on.
-func askRegularly(addr, name string, timeout time.Duration, end time.Time) clientResults {
-	results := clientResults{statuses: map[int]int{}}
-	client := keepAliveClient{addr: addr}
-	defer client.close()
-	for n := 0; time.Now().Before(end); n++ {
-		sent := time.Now()
-		deadline := sent.Add(timeout + answerSlack)
-		request := requestHead("check", fmt.Sprint(name, "-", n), timeout) + "\r\n"
-		kept := client.conn != nil
-		status := client.ask(request, deadline)
-		if status == 0 && kept {
-			status = client.ask(request, deadline)
-		}
-		if status == 0 {
-			results.unanswered++
-		}
-		results.statuses[status]++
-		results.latencies = append(results.latencies, time.Since(sent))
-		time.Sleep(50 * time.Millisecond)
-	}
-	return results
-}
-
-// keepAliveClient sends requests one after the other, on one connection while that stays open.
-type keepAliveClient struct {
-	addr   string
-	conn   net.Conn // nil: none
-	reader *bufio.Reader
-}
-
-// ask sends a request and returns the status of its response, or 0 if the connection ended with none or the deadline passed.
-func (k *keepAliveClient) ask(request string, deadline time.Time) (status int) {
-	if k.conn == nil {
-		dialer := net.Dialer{Deadline: deadline}
-		conn, err := dialer.Dial("tcp", k.addr)
-		if err != nil {
-			return 0
-		}
-		k.conn, k.reader = conn, bufio.NewReader(conn)
-	}
-	k.conn.SetDeadline(deadline)
-	send(k.conn, request)
-	resp, err := http.ReadResponse(k.reader, nil)
-	if err != nil {
-		k.close()
-		return 0
-	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-		k.close()
-	}
-	return resp.StatusCode
-}
-
-// close closes the connection, if there is one.
-func (k *keepAliveClient) close() {
-	if k.conn != nil {
-		k.conn.Close()
-		k.conn = nil
-	}
-}
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -66,6 +66,15 @@
 	maxTransferPause = 10 * time.Millisecond
 	// maxTransferStep is the time above which a part of a long body has been waited for.
 	maxTransferStep = 500 * time.Microsecond
+	// frameWorkShare is the share of the time for frames that serve no request.
+	frameWorkShare    = 0.1
+	frameWorkBurst    = 2 * time.Millisecond
+	maxFrameWorkPause = 50 * time.Millisecond
+	// readsPerPart is at least the number of reads for a served request, or for a part of its body.
+	readsPerPart   = 8
+	maxEarnedReads = 64
+	// maxFrameWork bounds what counts for one read of such a connection.
+	maxFrameWork = 100 * time.Microsecond
 )
 
 // Watching clients.
--- a/internal/downstream/multiplexed.go
+++ b/internal/downstream/multiplexed.go
@@ -30,7 +30,8 @@
 func (s *Server) serveMultiplexed(c *clientConn, p MultiplexedProtocol, first []byte) {
 	drain := s.startMultiplexed(c)
 	active := func(active bool) { s.setMultiplexedActive(c, active) }
-	p.Serve(c.Conn, first, drain, active, &multiplexedConn{server: s, conn: c})
+	requests := newMultiplexedConn(s, c)
+	p.Serve(requests.frames, first, drain, active, requests)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drainMultiplexed(c)
@@ -76,20 +77,28 @@
 type multiplexedConn struct {
 	server *Server
 	conn   *clientConn
+	frames *throttledConn
 
 	mu        sync.Mutex // guards the fields below, and is held while the pool is set; acquired before Server.mu
 	poolKnown bool
 	pausedTo  time.Time // requests are not looked at before
 }
 
+func newMultiplexedConn(s *Server, c *clientConn) *multiplexedConn {
+	return &multiplexedConn{server: s, conn: c, frames: &throttledConn{Conn: c.Conn, work: &s.frameWork}}
+}
+
 // ServeHTTP implements http.Handler.
 func (m *multiplexedConn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !m.awaitPause(r.Context()) {
 		return
 	}
 	begin := time.Now()
-	if local := m.serve(w, r); local {
+	switch local := m.serve(w, r); {
+	case local:
 		m.pause(m.server.recordLocalWork(m.conn, begin))
+	case r.Context().Err() == nil:
+		m.frames.earn()
 	}
 }
 
@@ -134,7 +143,7 @@
 		writeStreamRejection(w, r, err)
 		return true
 	}
-	x, remainder, err := m.server.dispatchStream(w, r, request, admitted)
+	x, remainder, err := m.dispatch(w, r, request, admitted)
 	if remainder != nil {
 		defer remainder.discard()
 		defer remainder.stop() // a Read after ServeHTTP has returned would use w, which must not be used any more
@@ -154,16 +163,16 @@
 			return false
 		}
 	}
-	writeStreamResponse(w, r, &resp, m.server)
+	writeStreamResponse(w, r, &resp, m)
 	return rejected
 }
 
-// dispatchStream reads the body of a request, or the first part of a long one, and dispatches the request. remainder is the rest of a long
+// dispatch reads the body of a request, or the first part of a long one, and dispatches the request. remainder is the rest of a long
 // body, which the caller must stop, and nil for others.
-func (s *Server) dispatchStream(
+func (m *multiplexedConn) dispatch(
 	w http.ResponseWriter, r *http.Request, request *httpmsg.Request, admitted AdmittedRequest,
 ) (x Exchange, remainder *upload, err error) {
-	body := newStreamBody(w, r, request.Length)
+	body := newStreamBody(w, r, request.Length, m.frames)
 	first, more, err := body.readFirst()
 	if err != nil {
 		admitted.Release()
@@ -173,7 +182,7 @@
 		x, err = admitted.Dispatch(first, nil)
 		return x, nil, err
 	}
-	remainder = newUpload(body, s.options.BufferMemory, s.transfers)
+	remainder = newUpload(body, m.server.options.BufferMemory, m.server.transfers)
 	x, err = admitted.Dispatch(first, remainder)
 	return x, remainder, err
 }
--- a/internal/downstream/multiplexed_body.go
+++ b/internal/downstream/multiplexed_body.go
@@ -14,10 +14,11 @@
 	control  *http.ResponseController
 	length   int64 // in bytes; -1: not known
 	progress bodyProgress
+	frames   *throttledConn
 }
 
-func newStreamBody(w http.ResponseWriter, r *http.Request, length int64) *streamBody {
-	return &streamBody{request: r, control: http.NewResponseController(w), length: length}
+func newStreamBody(w http.ResponseWriter, r *http.Request, length int64, frames *throttledConn) *streamBody {
+	return &streamBody{request: r, control: http.NewResponseController(w), length: length, frames: frames}
 }
 
 // Length implements httpmsg.BodyStream.
@@ -51,6 +52,9 @@
 	n, err := b.request.Body.Read(p)
 	b.progress.waited += time.Since(now)
 	b.progress.bytes += int64(n)
+	if n > 0 {
+		b.frames.earn()
+	}
 	switch {
 	case b.progress.bytes > httpmsg.MaxBodyBytes:
 		return 0, errBodyTooLong
--- a/internal/downstream/multiplexed_response.go
+++ b/internal/downstream/multiplexed_response.go
@@ -21,8 +21,8 @@
 }
 
 // writeStreamResponse writes a response. If the response cannot be completed, it resets the stream, so that the client can detect the
-// truncation. server may be nil if resp has no remainder. writeStreamResponse clears resp.Body, as Server.writeResponse does.
-func writeStreamResponse(w http.ResponseWriter, r *http.Request, resp *httpmsg.Response, server *Server) {
+// truncation. m may be nil if resp has no remainder. writeStreamResponse clears resp.Body, as Server.writeResponse does.
+func writeStreamResponse(w http.ResponseWriter, r *http.Request, resp *httpmsg.Response, m *multiplexedConn) {
 	headRequest := r.Method == http.MethodHead
 	setStreamHeader(w.Header(), resp, headRequest)
 	setStreamWriteDeadline(w, writeTimeout)
@@ -35,7 +35,7 @@
 	resp.Body = nil
 	if resp.Remainder != nil {
 		if err == nil {
-			err = copyStreamRemainder(w, resp.Remainder, server)
+			err = copyStreamRemainder(w, resp.Remainder, m)
 		}
 		resp.Remainder.Close(err == nil)
 	}
@@ -64,9 +64,10 @@
 }
 
 // copyStreamRemainder writes the remainder of a response's body as it arrives, and flushes after each write.
-func copyStreamRemainder(w http.ResponseWriter, remainder httpmsg.ResponseStream, server *Server) error {
+func copyStreamRemainder(w http.ResponseWriter, remainder httpmsg.ResponseStream, m *multiplexedConn) error {
 	control := http.NewResponseController(w)
-	return server.copyRemainder(remainder, func(p []byte) error {
+	return m.server.copyRemainder(remainder, func(p []byte) error {
+		m.frames.earn()
 		setStreamWriteDeadline(w, streamWriteTimeout)
 		if _, err := w.Write(p); err != nil {
 			return err
--- a/internal/downstream/multiplexed_test.go
+++ b/internal/downstream/multiplexed_test.go
@@ -94,7 +94,9 @@
 	var handler sync.WaitGroup
 	handler.Go(func() {
 		conn := &clientConn{Conn: near, listener: &serverListener{}}
-		(&multiplexedConn{server: s.Server, conn: conn, poolKnown: true}).ServeHTTP(w, r)
+		m := newMultiplexedConn(s.Server, conn)
+		m.poolKnown = true
+		m.ServeHTTP(w, r)
 		w.returned.Store(true)
 	})
 	remainder := <-h.remainder
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -52,6 +52,7 @@
 	clockStart  time.Time    // zero time of the clock of idlePolicy, localWork and accepts
 	localWork   workThrottle // requests that need no endpoint
 	transfers   *transferThrottle
+	frameWork   workThrottle // frames that serve no request
 	accepts     acceptRate
 	pausedConns atomic.Int64   // connections that pause for localWork
 	goroutines  sync.WaitGroup // goroutines of the connections
@@ -96,6 +97,7 @@
 		clockStart:  time.Now(),
 		localWork:   workThrottle{share: localWorkShare, burst: localWorkBurst, maxPause: maxLocalWorkPause},
 		transfers:   newTransferThrottle(),
+		frameWork:   workThrottle{share: frameWorkShare, burst: frameWorkBurst, maxPause: maxFrameWorkPause},
 		idlePolicy:  keepalive.New(d.MaxClients()),
 		listeners:   map[net.Listener]*serverListener{},
 		conns:       map[*clientConn]struct{}{},
--- a/internal/downstream/throttle.go
+++ b/internal/downstream/throttle.go
@@ -1,7 +1,9 @@
 package downstream
 
 import (
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,3 +71,41 @@
 		time.Sleep(pause)
 	}
 }
+
+// throttledConn is a connection that carries several requests at once. Its reader pauses if frames that serve no request, such as pings, canceled
+// requests and rejected ones, take too much of the time. Frames of requests that are served are earned back.
+type throttledConn struct {
+	net.Conn
+	work   *workThrottle
+	earned atomic.Int64 // reads that are not counted
+	readAt time.Time    // end of the last Read; only Read uses it
+}
+
+// Read implements io.Reader.
+func (c *throttledConn) Read(p []byte) (int, error) {
+	if pause := c.recordFrame(); pause > 0 {
+		time.Sleep(pause)
+	}
+	n, err := c.Conn.Read(p)
+	c.readAt = time.Now()
+	return n, err
+}
+
+// recordFrame records the work since the last read, unless that read was earned. It returns how long to pause.
+func (c *throttledConn) recordFrame() (pause time.Duration) {
+	switch {
+	case c.readAt.IsZero():
+		return 0
+	case c.earned.Add(-1) >= 0:
+		return 0
+	}
+	c.earned.Store(0)
+	return c.work.record(time.Since(processStart), min(time.Since(c.readAt), maxFrameWork))
+}
+
+// earn makes the reads of a part of a served request free.
+func (c *throttledConn) earn() {
+	if c.earned.Load() < maxEarnedReads {
+		c.earned.Add(readsPerPart)
+	}
+}
--- a/internal/downstream/throttle_test.go
+++ b/internal/downstream/throttle_test.go
@@ -41,3 +41,32 @@
 		}
 	})
 }
+
+// TestEarnedReads guards against connections that are throttled for the requests that they serve, and against reads that stay free for ever.
+func TestEarnedReads(t *testing.T) {
+	work := workThrottle{share: 0.001, maxPause: time.Second}
+	c := throttledConn{work: &work}
+	record := func() time.Duration {
+		c.readAt = time.Now().Add(-time.Millisecond)
+		return c.recordFrame()
+	}
+	for range 2 * maxEarnedReads {
+		c.earn()
+	}
+	free := 0
+	for free < 2*maxEarnedReads && record() == 0 {
+		free++
+	}
+	if free < maxEarnedReads || free >= maxEarnedReads+readsPerPart {
+		t.Errorf("%d reads are free, want about %d", free, maxEarnedReads)
+	}
+	c.earn()
+	for i := range readsPerPart {
+		if record() > 0 {
+			t.Errorf("read %d of a served request is counted", i+1)
+		}
+	}
+	if record() == 0 {
+		t.Error("a read beyond those is not counted")
+	}
+}
