Test harnesses no longer lend out a port that another socket may take

Outgoing connections on loopback come from 127.0.0.1 and may take the port meanwhile. Change: sitelink's harness uses a loopback host of its own for each such address; the flood tests let the admin server choose its port, which the log names now ('admin server ready listen=...').

--- a/cmd/sidecar/flood_test.go
+++ b/cmd/sidecar/flood_test.go
@@ -59,9 +59,8 @@
 	t.Helper()
 	const memoryMB, sockets, clients = 64, 256, 10
 	const playTime = 2 * time.Second
-	admin := unusedAddress(t)
-	process := startProgram(t, program, writeFaultConfig(t, memoryMB, sockets, startFaultServer(t, p.serve)), sockets, []string{"GW_ADMIN=" + admin})
-	addresses := sidecarAddresses{clients: process.ready(t), admin: admin}
+	process := startProgram(t, program, writeFaultConfig(t, memoryMB, sockets, startFaultServer(t, p.serve)), sockets, []string{"GW_ADMIN=127.0.0.1:0"})
+	addresses := sidecarAddresses{clients: process.ready(t), admin: wait(t, "the admin server to be ready", process.admin)}
 	startupRequest(t, addresses.clients)
 	end := time.Now().Add(playTime)
 	until, stop := context.WithDeadline(t.Context(), end)
@@ -92,17 +91,6 @@
 	}
 }
 
-// unusedAddress returns an address that no socket is bound to.
-func unusedAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // TestFloodOnOneConnection guards against one client that sends small or unsound requests at full speed: other clients must be answered in
 // time, and memory must not grow.
 func TestFloodOnOneConnection(t *testing.T) {
--- a/cmd/sidecar/process_test.go
+++ b/cmd/sidecar/process_test.go
@@ -35,6 +35,7 @@
 type process struct {
 	cmd    *exec.Cmd
 	listen chan string // receives the listening address once the sidecar is ready
+	admin  chan string // receives the address of the admin server, if there is one
 	ended  chan error
 }
 
@@ -57,7 +58,7 @@
 // startProgram starts a program that is the sidecar, as startProcessWith does.
 func startProgram(t *testing.T, program, config string, descriptors int, env []string, files ...*os.File) *process {
 	t.Helper()
-	p := &process{listen: make(chan string, 1), ended: make(chan error, 1)}
+	p := &process{listen: make(chan string, 1), admin: make(chan string, 1), ended: make(chan error, 1)}
 	p.cmd = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2"`, "sh", strconv.Itoa(descriptors), program)
 	p.cmd.Env = append(append(os.Environ(), runAsSidecar+"=1", "GW_CONFIG="+config), env...)
 	p.cmd.ExtraFiles = files
@@ -72,11 +73,15 @@
 	var read sync.WaitGroup
 	read.Go(func() {
 		ready := regexp.MustCompile(`msg=ready .*listen=([0-9.:]+)`)
+		adminReady := regexp.MustCompile(`msg="admin server ready" listen=([0-9.:]+)`)
 		for from := bufio.NewScanner(log); from.Scan(); {
 			lines = append(lines, from.Text())
 			if m := ready.FindStringSubmatch(from.Text()); m != nil {
 				p.listen <- m[1]
 			}
+			if m := adminReady.FindStringSubmatch(from.Text()); m != nil {
+				p.admin <- m[1]
+			}
 		}
 	})
 	go func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,10 +119,14 @@
 func (g *Gateway) StartAdmin() (err error) {
 	g.configMu.Lock()
 	defer g.configMu.Unlock()
-	if g.cfg.AdminAddress != "" && g.adminServer == nil {
-		g.adminServer, err = admin.Listen(g.cfg.AdminAddress, g, g.log)
+	if g.cfg.AdminAddress == "" || g.adminServer != nil {
+		return nil
+	}
+	if g.adminServer, err = admin.Listen(g.cfg.AdminAddress, g, g.log); err != nil {
+		return err
 	}
-	return err
+	g.log.Info("admin server ready", "listen", g.adminServer.Addr().String())
+	return nil
 }
 
 // AdminAddr returns the address of the admin server, or nil if it is not started. It must not be called concurrently with StartAdmin or
--- a/internal/sitelink/harness_test.go
+++ b/internal/sitelink/harness_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,9 +122,12 @@
 	return s
 }
 
+// freeAddress returns an address for a listener that is opened later. Its host is one that no other socket uses, since outgoing connections on
+// loopback come from 127.0.0.1: they would take the port meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	host := lastFreeHost.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()>>8%64, os.Getpid()%256, 1+host%254))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,6 +135,9 @@
 	return ln.Addr().String()
 }
 
+// lastFreeHost counts the addresses that freeAddress has returned.
+var lastFreeHost atomic.Uint32
+
 var idempotencies = map[string]fake.Idempotency{"check": fake.Idempotent, "order": fake.IdempotentByKey, "order-here": fake.IdempotentByKey, "book": fake.NonIdempotent}
 
 func startBackend(t *testing.T, name string, recorder *fake.EffectRecorder, deduplicator *fake.Deduplicator) *fake.Backend {
