A few refusals of sound requests in a row are not throttled

Cause: the throttle paused after every request that needs no endpoint, whoever sent it; a close was decided by descriptors alone. Change: up to 32 refused sound requests in a row cause no pause; only connections without a request for a pool (health checks) are closed where too many pause; an HTTP/2 connection has some reads free at all times, so that a few pings or refusals never wait for others' frames.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -107,6 +107,7 @@
 		return
 	}
 	var backoff readBackoff
+	refused := 0 // sound requests that were rejected without an endpoint, in a row
 	for s.awaitRequest(c) {
 		begin := time.Now()
 		r, err := c.reader.readRequest()
@@ -122,7 +123,12 @@
 		}
 		malformedDelay := backoff.record(outcome)
 		delay := max(malformedDelay, s.handler.ReadDelay(c.pool, backoff.rejected))
-		if outcome.local && !s.throttle(c, begin) {
+		if outcome.refused() {
+			refused++
+		} else {
+			refused = 0
+		}
+		if outcome.local && !s.throttle(c, begin, refused) {
 			return
 		}
 		if delay > 0 {
--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -19,6 +19,11 @@
 	keepOpen bool // another request may follow
 }
 
+// refused reports whether a sound request was rejected without an endpoint. Its client may send it again, and is owed an answer in time.
+func (o requestOutcome) refused() bool {
+	return o.local && (o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable)
+}
+
 // handleRequest serves request r, whose header has been read: it reads the body, dispatches the request and writes the response.
 func (s *Server) handleRequest(c *clientConn, r *clientRequest) requestOutcome {
 	if r.Path == healthPath && r.Method == http.MethodGet {
--- a/internal/downstream/limits.go
+++ b/internal/downstream/limits.go
@@ -56,6 +56,8 @@
 	// maxLocalWorkPause adds to the latency of the next request on the connection.
 	maxLocalWorkPause = 50 * time.Millisecond
 	minLoggedPause    = time.Millisecond
+	// maxUnpausedRefusals is how many sound requests may be refused in a row before the connection pauses.
+	maxUnpausedRefusals = 32
 	// maxPausedDivisor divides the number of client connections to get the number of those that may pause at once.
 	maxPausedDivisor = 8
 	// maxLocalWork bounds what counts for one of these requests. A longer one has waited for its client or for the processor.
@@ -73,6 +75,8 @@
 	// readsPerPart is at least the number of reads for a served request, or for a part of its body.
 	readsPerPart   = 8
 	maxEarnedReads = 64
+	// freeReadInterval is how often readsPerPart are earned without a served request.
+	freeReadInterval = 50 * time.Millisecond
 	// maxFrameWork bounds what counts for one read of such a connection.
 	maxFrameWork = 100 * time.Microsecond
 )
--- a/internal/downstream/multiplexed.go
+++ b/internal/downstream/multiplexed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sorrelrudder/internal/httpmsg"
@@ -78,6 +79,7 @@
 	server *Server
 	conn   *clientConn
 	frames *throttledConn
+	local  atomic.Int64 // requests in a row that needed no endpoint
 
 	mu        sync.Mutex // guards the fields below, and is held while the pool is set; acquired before Server.mu
 	poolKnown bool
@@ -96,8 +98,12 @@
 	begin := time.Now()
 	switch local := m.serve(w, r); {
 	case local:
-		m.pause(m.server.recordLocalWork(m.conn, begin))
+		pause := m.server.recordLocalWork(m.conn, begin)
+		if m.local.Add(1) > maxUnpausedRefusals {
+			m.pause(pause)
+		}
 	case r.Context().Err() == nil:
+		m.local.Store(0)
 		m.frames.earn()
 	}
 }
--- a/internal/downstream/throttle.go
+++ b/internal/downstream/throttle.go
@@ -38,16 +38,18 @@
 	return pause
 }
 
-// throttle calls recordLocalWork and pauses. It reports whether c may stay open: its client may have left, and connections that pause must
-// leave descriptors to others.
-func (s *Server) throttle(c *clientConn, begin time.Time) (keepOpen bool) {
+// throttle calls recordLocalWork and pauses, unless few sound requests in a row were refused: further ones that have already arrived are owed
+// an answer in time. It reports whether c may stay open. Its client may have left. A connection without a request for a pool, such as one of
+// health checks, closes if too many pause or descriptors run short.
+func (s *Server) throttle(c *clientConn, begin time.Time, refused int) (keepOpen bool) {
 	pause := s.recordLocalWork(c, begin)
-	if pause == 0 {
+	if pause == 0 || 0 < refused && refused <= maxUnpausedRefusals {
 		return true
 	}
 	paused := s.pausedConns.Add(1)
 	defer s.pausedConns.Add(-1)
-	if paused > max(1, s.descriptors.MaxClients()/maxPausedDivisor) || c.clientGone() || s.descriptorsShort() {
+	tooMany := paused > max(1, s.descriptors.MaxClients()/maxPausedDivisor)
+	if c.clientGone() || c.pool == 0 && (tooMany || s.descriptorsShort()) {
 		return false
 	}
 	time.Sleep(pause)
@@ -73,12 +75,15 @@
 }
 
 // throttledConn is a connection that carries several requests at once. Its reader pauses if frames that serve no request, such as pings, canceled
-// requests and rejected ones, take too much of the time. Frames of requests that are served are earned back.
+// requests and rejected ones, take too much of the time. Frames of requests that are served, and a few in each freeReadInterval, are not counted.
 type throttledConn struct {
 	net.Conn
 	work   *workThrottle
 	earned atomic.Int64 // reads that are not counted
-	readAt time.Time    // end of the last Read; only Read uses it
+
+	// Only Read uses the fields below.
+	readAt     time.Time // end of the last Read
+	refilledAt time.Time // when a read was last earned by time
 }
 
 // Read implements io.Reader.
@@ -93,10 +98,14 @@
 
 // recordFrame records the work since the last read, unless that read was earned. It returns how long to pause.
 func (c *throttledConn) recordFrame() (pause time.Duration) {
-	switch {
-	case c.readAt.IsZero():
+	if c.readAt.IsZero() {
 		return 0
-	case c.earned.Add(-1) >= 0:
+	}
+	if time.Since(c.refilledAt) >= freeReadInterval {
+		c.refilledAt = time.Now()
+		c.earn()
+	}
+	if c.earned.Add(-1) >= 0 {
 		return 0
 	}
 	c.earned.Store(0)
