--- a/review/programs-2/stage/server.go
+++ b/review/programs-2/stage/server.go
@@ -25,6 +25,7 @@
 	Address string
 	stage   *Stage
 	work    time.Duration
+	quiet   bool // it writes nothing to the record
 
 	mu   sync.Mutex
 	runs []*Run
@@ -41,6 +42,13 @@
 	return server
 }
 
+// StartQuietServer is StartServer for many requests: they are not written to the record.
+func (s *Stage) StartQuietServer(work time.Duration) *Server {
+	server := s.StartServer(work)
+	server.quiet = true
+	return server
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" || r.URL.Path == "/load" {
@@ -52,7 +60,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
-	s.stage.Log("server: begins slot %s with token %s (request %s, X-Timeout-Ms %s)", run.Slot, run.Token, run.ID, h.Get("X-Timeout-Ms"))
+	s.log("server: begins slot %s with token %s (request %s, X-Timeout-Ms %s)", run.Slot, run.Token, run.ID, h.Get("X-Timeout-Ms"))
 	work := time.NewTimer(s.work)
 	left := r.Context().Done()
 	for {
@@ -62,12 +70,12 @@
 			s.mu.Lock()
 			run.Left = time.Now()
 			s.mu.Unlock()
-			s.stage.Log("server: the sender of slot %s with token %s has ended its connection", run.Slot, run.Token)
+			s.log("server: the sender of slot %s with token %s has ended its connection", run.Slot, run.Token)
 		case <-work.C:
 			s.mu.Lock()
 			run.End = time.Now()
 			s.mu.Unlock()
-			s.stage.Log("server: ends slot %s with token %s", run.Slot, run.Token)
+			s.log("server: ends slot %s with token %s", run.Slot, run.Token)
 			fmt.Fprintf(w, "done %s\n", run.Slot)
 			return
 		}
@@ -111,3 +119,10 @@
 	}
 	return found
 }
+
+// log writes a line to the record.
+func (s *Server) log(format string, args ...any) {
+	if !s.quiet {
+		s.stage.Log(format, args...)
+	}
+}
