A fleet of one member that shares state no longer ends with a panic

What callers saw: a process whose file lists itself as the only member, with [tier.copies], took clients for some 50 ms and ended with "panic: invalid argument to IntN", status 2, at each start.

Cause: gossip.Node.randomMembers drew a position among the other members without a look whether there are any. Exchanges, rumors, each eighth ping and the departure lead there. The panic, in the goroutine of the membership, ends the process.

Evidence: the stack of the panic names the path (tickSync, startSync, syncCandidate, randomMembers).

Change: no other member, no draw. All callers handle an empty result already, which they get where no member matches, so that nothing else differs; with other members the draws are as they were.

--- a/internal/fleet/sharedstate_test.go
+++ b/internal/fleet/sharedstate_test.go
@@ -90,10 +90,10 @@
 	return f.excluded[endpoint]
 }
 
-// newSharingConfigs returns the configurations of three processes that share state.
-func newSharingConfigs(t *testing.T) []Config {
+// newSharingConfigs returns the configurations of n processes that share state.
+func newSharingConfigs(t *testing.T, n int) []Config {
 	t.Helper()
-	cfgs := newFleetConfigs(t, 3)
+	cfgs := newFleetConfigs(t, n)
 	for i := range cfgs {
 		cfgs[i].SharedState = &SharedStateConfig{
 			GossipInterval: 20 * time.Millisecond, PingInterval: 200 * time.Millisecond, SyncInterval: 200 * time.Millisecond, DeadRetention: time.Second, Fanout: 2, ReporterQuorum: 2, CatchUpBudget: 1 << 20,
@@ -141,7 +141,7 @@
 // as unreachable, but not if only one reports it. A decision reaches all processes, including one that was stopped when the decision was
 // made. A withdrawn report or decision has no further effect.
 func TestSharedState(t *testing.T) {
-	cfgs := newSharingConfigs(t)
+	cfgs := newSharingConfigs(t, 3)
 	pools := []*fakePools{newFakePools(), newFakePools(), newFakePools()}
 	var all []*Host
 	for i, cfg := range cfgs {
@@ -274,7 +274,7 @@
 // TestZoneFailover checks that all processes exclude a zone, by one decision, once members of two zones report its endpoints as
 // unreachable. They use the zone again step by step once it answers. An operator's decision prevails over automatic failover.
 func TestZoneFailover(t *testing.T) {
-	cfgs := newSharingConfigs(t)
+	cfgs := newSharingConfigs(t, 3)
 	zones := map[string]string{}
 	for i, cfg := range cfgs {
 		zones[cfg.Name] = string(rune('a' + i))
@@ -364,7 +364,7 @@
 // warm. The process has not seen the zone excluded, and no endpoint list gives the start times of the endpoints. It must treat them as warm
 // only once the fleet has decided so.
 func TestStartDuringWarmUp(t *testing.T) {
-	cfgs := newSharingConfigs(t)
+	cfgs := newSharingConfigs(t, 3)
 	zones := map[string]string{}
 	for i, cfg := range cfgs {
 		zones[cfg.Name] = string(rune('a' + i))
@@ -480,7 +480,7 @@
 // are lost and the fleet is bootstrapped again, as the operators' page describes. Its decisions are numbered from 1 again, while the
 // processes have saved decisions of the former fleet with larger numbers.
 func TestFleetBootstrappedAgain(t *testing.T) {
-	cfgs := newSharingConfigs(t)
+	cfgs := newSharingConfigs(t, 3)
 	var pools []*fakePools
 	var all []*Host
 	startAll := func() {
@@ -547,7 +547,7 @@
 
 // TestCommandWithLostResponse checks that an operator's command whose response is lost with the leader is repeated and applied once.
 func TestCommandWithLostResponse(t *testing.T) {
-	cfgs := newSharingConfigs(t)
+	cfgs := newSharingConfigs(t, 3)
 	var all []*Host
 	for _, cfg := range cfgs {
 		all = append(all, startHost(t, cfg, newFakePools()))
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -183,8 +183,11 @@
 // drawsPerMember is the number of random draws per requested member before all members are searched.
 const drawsPerMember = 8
 
-// randomMembers returns the names of up to count random other members that match.
+// randomMembers returns the names of up to count random other members that match; none if this process is the only member.
 func (n *Node) randomMembers(count int, matches func(*member) bool) []string {
+	if len(n.peers) == 0 {
+		return nil
+	}
 	var drawn []string
 	for try := 0; try < drawsPerMember*count && len(drawn) < count; try++ {
 		m := n.members[n.peers[n.rng.IntN(len(n.peers))]]
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -140,3 +140,28 @@
 		t.Error("a process that is not a member receives a reply")
 	}
 }
+
+// TestSingleMember guards against a panic of a member that has no other member to ping, to synchronize with or to tell rumors. It must keep
+// what it has written and what consensus has decided, and send nothing.
+func TestSingleMember(t *testing.T) {
+	w := newNetwork(t, 1)
+	n := w.nodes["a"]
+	n.Put("dead/x", []byte("1"))
+	n.Put("dead/y", []byte("1"))
+	n.Delete("dead/y")
+	n.ApplyDecision("order/endpoint", 7, []byte("avoid"))
+	w.run(time.Minute)
+	if !w.holds("a", "a", "dead/x") || w.holds("a", "a", "dead/y") || !w.holds("a", ConsensusOwner, "order/endpoint") {
+		t.Error("the member has not kept its entries and the decision")
+	}
+	if out := n.Leave(w.now); len(out)+len(w.bytes) > 0 {
+		t.Errorf("the member sends %v at its departure, and earlier to %v: want nothing", out, w.bytes)
+	}
+}
+
+// TestSingleMemberLeavesAtOnce guards against a panic of a member without others that leaves before its first tick.
+func TestSingleMemberLeavesAtOnce(t *testing.T) {
+	if out := New(0, config("a", 1, 1)).Leave(0); len(out) > 0 {
+		t.Errorf("the member sends %v, want nothing", out)
+	}
+}
