Rumors that no member can be told no longer pile up

A process that shares state and can tell nobody (the only member, or all others dead to it) keeps a rumor for each change of a report on a server, for as long as that lasts.

Cause: a newer rumor of the same key marks the queued one as superseded. Marked ones leave the queue as messages are filled, and without a recipient none is. maxRumors bounds the keys only.

Evidence: TestRumorsWithoutRecipient failed before: 20,481 rumors queued after 20,480 writes of one key with one member, 18,292 with three members of which two are never heard of.

Change: superseded rumors are counted, and removed once they are more than maxRumors. The order of the others is kept, so that messages stay as they were.

Result: at most twice maxRumors (2,048) in both cases; the tests of gossip, race detector on, pass. Not measured with real processes.

--- a/internal/gossip/rumor.go
+++ b/internal/gossip/rumor.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// maxRumorBytes is the approximate maximum size of a message with rumors.
@@ -31,6 +34,7 @@
 type rumorQueue struct {
 	byKey           map[rumorKey]*rumor
 	byTransmissions [][]*rumor // queues by number of transmissions
+	superseded      int        // number of superseded rumors in the queues
 }
 
 func newRumorQueue() rumorQueue { return rumorQueue{byKey: map[rumorKey]*rumor{}} }
@@ -42,12 +46,24 @@
 func (q *rumorQueue) add(key rumorKey) {
 	if queued := q.byKey[key]; queued != nil {
 		queued.superseded = true
+		q.superseded++
 	} else if len(q.byKey) >= maxRumors {
 		return
 	}
 	r := &rumor{key: key}
 	q.byKey[key] = r
 	q.enqueue(r)
+	if q.superseded > maxRumors { // nothing is sent while no other member is reachable
+		q.removeSuperseded()
+	}
+}
+
+// removeSuperseded removes the superseded rumors from the queues.
+func (q *rumorQueue) removeSuperseded() {
+	for i, queue := range q.byTransmissions {
+		q.byTransmissions[i] = slices.DeleteFunc(queue, func(r *rumor) bool { return r.superseded })
+	}
+	q.superseded = 0
 }
 
 func (q *rumorQueue) enqueue(r *rumor) {
@@ -66,6 +82,7 @@
 			r := queue[0]
 			queue = queue[1:]
 			if r.superseded {
+				q.superseded--
 				continue
 			}
 			size += write(r.key)
--- a/internal/gossip/rumor_test.go
+++ b/internal/gossip/rumor_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 )
 
 // sendOne sends one message with room for the given number of rumors, and returns the members that the rumors are about.
@@ -53,3 +54,26 @@
 		t.Error("a queued rumor was not replaced")
 	}
 }
+
+// TestRumorsWithoutRecipient guards against memory that grows with each write while a member can tell nobody: because it is the only one, or
+// because no other is reachable.
+func TestRumorsWithoutRecipient(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		n := New(0, config("a", size, 1))
+		for i := range 10 * maxRumors {
+			n.Put("dead/x", []byte("1"))
+			n.Delete("dead/x")
+			n.Tick(time.Duration(i) * 100 * ms)
+		}
+		queued := 0
+		for _, queue := range n.rumors.byTransmissions {
+			queued += len(queue)
+		}
+		if queued > 2*maxRumors {
+			t.Errorf("%d members: %d rumors are queued, want at most twice maxRumors", size, queued)
+		}
+		if _, ok := n.rumors.byKey[rumorKey{owner: "a", key: "dead/x"}]; !ok {
+			t.Errorf("%d members: the rumor about the last write is not queued", size)
+		}
+	}
+}
