--- a/cmd/sorrelrudder/main_test.go
+++ b/cmd/sorrelrudder/main_test.go
@@ -135,7 +135,8 @@
 	"internal/httpservice":  {"policy", "internal/classify", "internal/httpmsg", "internal/pool", "internal/upstream"},
 	"internal/metrics":      {},
 	"internal/statslog":     {},
-	"internal/emulator":     {"policy", "internal/zonefailover"},
+	"internal/virtualtime":  {},
+	"internal/emulator":     {"policy", "internal/virtualtime", "internal/zonefailover"},
 	"internal/scenario":     {"policy", "internal/emulator"},
 	"internal/goldentest":   {},
 	"internal/fixedseed":    {},
@@ -145,7 +146,7 @@
 	"internal/zoneview":     {"internal/consensus", "internal/zonefailover", "internal/gossip"},
 	"internal/task":         {},
 	"internal/consensus":    {"internal/lease", "internal/gossip", "internal/task"},
-	"internal/simulation":   {"internal/consensus", "internal/zonefailover", "internal/lease", "internal/gossip", "internal/task", "internal/zoneview"},
+	"internal/simulation":   {"internal/consensus", "internal/zonefailover", "internal/lease", "internal/gossip", "internal/task", "internal/virtualtime", "internal/zoneview"},
 	"internal/fleet":        {"internal/consensus", "internal/zonefailover", "internal/lease", "internal/httpmsg", "internal/gossip", "internal/task", "internal/zoneview"},
 	"internal/admin":        {"internal/metrics"},
 	"internal/limitedlog":   {},
@@ -173,7 +174,7 @@
 }
 
 // purePackages read no clock, open no files or connections, and start no goroutines.
-var purePackages = []string{"policy", "internal/classify", "internal/keepalive", "internal/route", "internal/quota", "internal/spillover", "internal/staleness", "internal/statslog", "internal/emulator", "internal/lease", "internal/task", "internal/consensus", "internal/gossip", "internal/zonefailover", "internal/zoneview"}
+var purePackages = []string{"policy", "internal/classify", "internal/keepalive", "internal/route", "internal/quota", "internal/spillover", "internal/staleness", "internal/statslog", "internal/virtualtime", "internal/emulator", "internal/lease", "internal/task", "internal/consensus", "internal/gossip", "internal/zonefailover", "internal/zoneview"}
 
 // TestImports guards against imports that the rules of docs/ARCHITECTURE.md do not allow.
 func TestImports(t *testing.T) {
--- a/internal/emulator/actions.go
+++ b/internal/emulator/actions.go
@@ -15,7 +15,7 @@
 		in.emulation.observer.unknownRequestSent(in)
 		return
 	}
-	a := &attempt{request: r, number: len(r.attempts), backend: target, sentAt: in.emulation.now}
+	a := &attempt{request: r, number: len(r.attempts), backend: target, sentAt: in.emulation.scheduler.Now()}
 	in.emulation.observer.attemptStarted(a, endpoint)
 	r.attempts = append(r.attempts, a)
 	in.countAttempt(a)
@@ -23,7 +23,7 @@
 		in.rejectUnknownEndpoint(a, endpoint)
 		return
 	}
-	in.emulation.after(timeout, func() { in.finish(a, policy.StatusTimeout) })
+	in.emulation.scheduler.After(timeout, func() { in.finish(a, policy.StatusTimeout) })
 	in.connect(target, func(connected bool) { in.transmit(a, connected) })
 }
 
@@ -31,7 +31,7 @@
 func (in *instance) rejectUnknownEndpoint(a *attempt, endpoint policy.EndpointID) {
 	a.finished = true
 	in.deferred = append(in.deferred, func() {
-		in.balancer.HandleAttemptResult(in.emulation.now, policy.AttemptResult{
+		in.balancer.HandleAttemptResult(in.emulation.scheduler.Now(), policy.AttemptResult{
 			ID:           a.request.id,
 			Attempt:      a.number,
 			Endpoint:     endpoint,
@@ -69,7 +69,7 @@
 // SetTimer schedules a timer of the balancer. The timer does not fire after the instance has been killed.
 func (in *instance) SetTimer(delay time.Duration, token string) {
 	balancer := in.balancer
-	in.emulation.after(delay, func() {
+	in.emulation.scheduler.After(delay, func() {
 		if in.balancer == balancer {
 			in.handle(func(now policy.Time) { balancer.HandleTimer(now, token, in) })
 		}
--- a/internal/emulator/attempt.go
+++ b/internal/emulator/attempt.go
@@ -48,19 +48,19 @@
 	e := in.emulation
 	if in.idleConnections[target] > 0 && !target.stopped {
 		in.idleConnections[target]--
-		e.after(0, func() { done(true) })
+		e.scheduler.After(0, func() { done(true) })
 		return
 	}
 	e.counts().Dials++
 	roundTrip := 2 * in.delayTo(target)
 	switch {
 	case target.silent || target.collapsed || target.partitioned:
-		e.after(e.scenario.Policy.DialTimeout, func() { done(false) })
+		e.scheduler.After(e.scenario.Policy.DialTimeout, func() { done(false) })
 	case target.stopped, e.scenario.MaxConnections > 0 && target.connections >= e.scenario.MaxConnections:
-		e.after(roundTrip, func() { done(false) })
+		e.scheduler.After(roundTrip, func() { done(false) })
 	default:
 		target.connections++
-		e.after(roundTrip+e.scenario.HandshakeDuration, func() { done(true) })
+		e.scheduler.After(roundTrip+e.scenario.HandshakeDuration, func() { done(true) })
 	}
 }
 
@@ -77,9 +77,9 @@
 	}
 	e := in.emulation
 	a.transmitted = true
-	e.after(in.delayTo(a.backend), func() { a.backend.receive(e, a) })
+	e.scheduler.After(in.delayTo(a.backend), func() { a.backend.receive(e, a) })
 	if e.resetFraction > 0 && e.rng.Float64() < e.resetFraction {
-		e.after(2*in.delayTo(a.backend), func() { in.finish(a, policy.StatusReset) })
+		e.scheduler.After(2*in.delayTo(a.backend), func() { in.finish(a, policy.StatusReset) })
 	}
 }
 
@@ -89,7 +89,7 @@
 	if status == policy.StatusOK && e.dropFraction > 0 && e.rng.Float64() < e.dropFraction {
 		return
 	}
-	e.after(in.delayTo(a.backend), func() { in.finish(a, status) })
+	e.scheduler.After(in.delayTo(a.backend), func() { in.finish(a, status) })
 }
 
 // finish ends an attempt and passes its result to the balancer. Only the first result of an attempt counts.
@@ -159,7 +159,7 @@
 	for _, r := range in.openRequests() {
 		for _, a := range r.attempts {
 			if a.backend == target && !a.finished && a.transmitted {
-				in.emulation.after(in.delayTo(target), func() { in.finish(a, policy.StatusReset) })
+				in.emulation.scheduler.After(in.delayTo(target), func() { in.finish(a, policy.StatusReset) })
 			}
 		}
 	}
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -88,7 +88,7 @@
 
 // capacityFraction returns the fraction of its full capacity that the backend currently has.
 func (b *backend) capacityFraction(e *Emulation) float64 {
-	age := e.now - b.started
+	age := e.scheduler.Now() - b.started
 	if b.started == 0 || age >= e.scenario.SlowStartDuration {
 		return 1
 	}
@@ -115,7 +115,7 @@
 		a.respond(e, policy.StatusOverloaded)
 		return
 	case b.errorFraction > 0 && e.rng.Float64() < b.errorFraction:
-		e.after(errorResponseTime, func() { a.respond(e, policy.StatusApplicationError) })
+		e.scheduler.After(errorResponseTime, func() { a.respond(e, policy.StatusApplicationError) })
 		return
 	case b.busy >= b.machine.Cores && len(b.queue) >= e.scenario.MaxQueueLength:
 		a.respond(e, policy.StatusOverloaded)
@@ -134,7 +134,7 @@
 		b.queue = b.queue[1:]
 		b.busy++
 		e.observer.attemptExecuted(next.attempt)
-		e.after(time.Duration(float64(next.work)/(b.machine.Speed*b.capacityFraction(e))), func() {
+		e.scheduler.After(time.Duration(float64(next.work)/(b.machine.Speed*b.capacityFraction(e))), func() {
 			b.busy--
 			if !b.unreachable() {
 				next.attempt.respond(e, policy.StatusOK)
@@ -147,17 +147,17 @@
 
 // recordQueueLength records the length of the queue for load reports.
 func (b *backend) recordQueueLength(e *Emulation) {
-	for len(b.queueHistory) > 1 && b.queueHistory[1].at <= e.now-e.scenario.LoadReportAge {
+	for len(b.queueHistory) > 1 && b.queueHistory[1].at <= e.scheduler.Now()-e.scenario.LoadReportAge {
 		b.queueHistory = b.queueHistory[1:]
 	}
-	b.queueHistory = append(b.queueHistory, queueSample{e.now, len(b.queue)})
+	b.queueHistory = append(b.queueHistory, queueSample{e.scheduler.Now(), len(b.queue)})
 }
 
 // reportedQueueLength returns the queue length that a health check reports. It is the length of LoadReportAge ago.
 func (b *backend) reportedQueueLength(e *Emulation) float64 {
 	length := 0
 	for _, sample := range b.queueHistory {
-		if sample.at <= e.now-e.scenario.LoadReportAge {
+		if sample.at <= e.scheduler.Now()-e.scenario.LoadReportAge {
 			length = sample.length
 		}
 	}
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -43,12 +43,12 @@
 	if e.arrivalsClosed {
 		return
 	}
-	e.after(time.Duration(e.rng.ExpFloat64()/e.scenario.Clients.RequestsPerSecond*float64(time.Second)), e.arrive)
+	e.scheduler.After(time.Duration(e.rng.ExpFloat64()/e.scenario.Clients.RequestsPerSecond*float64(time.Second)), e.arrive)
 	class := e.drawClass()
 	request := &clientRequest{
 		class:       class,
 		instance:    e.drawInstance(),
-		startedAt:   e.now,
+		startedAt:   e.scheduler.Now(),
 		retriesLeft: e.scenario.Clients.MaxRetries,
 		work:        lognormal(e.rng, class.MeanWork, class.WorkVariation),
 		second:      int(e.Elapsed() / time.Second),
@@ -92,7 +92,7 @@
 	if e.scenario.Clients.AttemptTimeoutFraction <= 0 || r.retriesLeft == 0 {
 		timeout = r.class.Deadline
 	}
-	timeout = min(timeout, r.startedAt+r.class.Deadline-e.now)
+	timeout = min(timeout, r.startedAt+r.class.Deadline-e.scheduler.Now())
 	e.counts().ClientAttempts++
 	r.instance.receive(r, timeout)
 }
@@ -108,7 +108,7 @@
 	}
 	r.done = true
 	counts := &e.Result.Seconds[r.second]
-	if e.now-r.startedAt <= r.class.LatencyObjective {
+	if e.scheduler.Now()-r.startedAt <= r.class.LatencyObjective {
 		counts.WithinObjective++
 		counts.ServedWeight += r.weight()
 		return
@@ -124,11 +124,11 @@
 	if e.scenario.Clients.HonorRetryAfter && retryAfter > 0 {
 		delay = retryAfter
 	}
-	if r.retriesLeft == 0 || e.now+delay >= r.startedAt+r.class.Deadline {
+	if r.retriesLeft == 0 || e.scheduler.Now()+delay >= r.startedAt+r.class.Deadline {
 		r.done = true
 		e.Result.Seconds[r.second].Unserved++
 		return
 	}
 	r.retriesLeft--
-	e.after(delay, func() { r.send(e) })
+	e.scheduler.After(delay, func() { r.send(e) })
 }
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -53,12 +53,12 @@
 func (d *discoveryService) change(b *backend, state policy.EndpointState) {
 	e := d.emulation
 	d.revision++
-	change := listChange{d.revision, e.now + e.scenario.Discovery.NotificationDelay, b.endpoint(state)}
+	change := listChange{d.revision, e.scheduler.Now() + e.scenario.Discovery.NotificationDelay, b.endpoint(state)}
 	d.changes = append(d.changes, change)
-	e.after(e.scenario.Discovery.NotificationDelay, func() {
+	e.scheduler.After(e.scenario.Discovery.NotificationDelay, func() {
 		for _, watch := range d.watches {
 			if !watch.canceled {
-				e.after(e.scenario.SameZoneDelay, func() {
+				e.scheduler.After(e.scenario.SameZoneDelay, func() {
 					watch.instance.receiveUpdate(policy.UpdateDelta, []policy.Endpoint{change.endpoint})
 				})
 			}
@@ -82,7 +82,7 @@
 	positions := map[policy.EndpointID]int{}
 	var all []policy.Endpoint
 	for _, change := range d.changes {
-		if change.visibleFrom > d.emulation.now {
+		if change.visibleFrom > d.emulation.scheduler.Now() {
 			continue
 		}
 		if position, listed := positions[change.endpoint.ID]; listed {
@@ -108,13 +108,13 @@
 	watch := &endpointWatch{instance: in}
 	e.counts().WatchRequests++
 	serviceTime := time.Duration(float64(time.Second) / e.scenario.Discovery.WatchesPerSecond)
-	servedAt := max(d.idleAt, e.now) + serviceTime
-	if servedAt-e.now > e.scenario.Discovery.MaxQueueDelay {
+	servedAt := max(d.idleAt, e.scheduler.Now()) + serviceTime
+	if servedAt-e.scheduler.Now() > e.scenario.Discovery.MaxQueueDelay {
 		d.reject(watch)
 		return watch
 	}
 	d.idleAt = servedAt
-	e.after(servedAt-e.now+e.scenario.SameZoneDelay, func() {
+	e.scheduler.After(servedAt-e.scheduler.Now()+e.scenario.SameZoneDelay, func() {
 		if !watch.canceled {
 			d.watches = append(d.watches, watch)
 			in.receiveUpdate(policy.UpdateFull, d.endpoints())
@@ -127,7 +127,7 @@
 func (d *discoveryService) reject(watch *endpointWatch) {
 	e := d.emulation
 	e.counts().WatchRequestsRejected++
-	e.after(2*e.scenario.SameZoneDelay, func() {
+	e.scheduler.After(2*e.scenario.SameZoneDelay, func() {
 		if !watch.canceled {
 			watch.canceled = true
 			watch.instance.watchFailed()
--- a/internal/emulator/emulation.go
+++ b/internal/emulator/emulation.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sorrelrudder/internal/virtualtime"
 	"sorrelrudder/policy"
 )
 
@@ -23,9 +24,7 @@
 // Emulation is a run of a scenario.
 type Emulation struct {
 	scenario       Scenario
-	now            policy.Time
-	queue          eventQueue
-	sequence       uint64     // sequence number of the newest event
+	scheduler      virtualtime.Scheduler
 	rng            *rand.Rand // random source of the environment; each balancer has its own source
 	arrivalsClosed bool
 
@@ -50,7 +49,8 @@
 	if err := scenario.validate(); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalidScenario, err)
 	}
-	e := &Emulation{scenario: scenario, now: startTime, rng: rand.New(rand.NewPCG(scenario.Seed, 1))}
+	e := &Emulation{scenario: scenario, rng: rand.New(rand.NewPCG(scenario.Seed, 1))}
+	e.scheduler.AdvanceTo(startTime)
 	e.Result.Seconds = make([]Counts, int((scenario.Duration+time.Second-1)/time.Second)+1)
 	e.observer = newObserver(e)
 	for index := range scenario.BackendCount {
@@ -86,8 +86,8 @@
 func (e *Emulation) Run() *Result {
 	e.schedule()
 	end := startTime + e.scenario.Duration + e.scenario.maxDeadline() + drainDuration
-	for len(e.queue) > 0 && e.queue[0].at <= end {
-		e.step()
+	for e.scheduler.DueBy(end) {
+		e.scheduler.Step()
 	}
 	e.observer.finish()
 	for _, second := range e.Result.Seconds {
@@ -99,17 +99,17 @@
 // schedule schedules the events that the scenario determines: starts, faults and arrivals.
 func (e *Emulation) schedule() {
 	for _, in := range e.instances {
-		e.after(time.Duration(e.rng.Float64()*float64(e.scenario.StartupWindow)), in.start)
+		e.scheduler.After(time.Duration(e.rng.Float64()*float64(e.scenario.StartupWindow)), in.start)
 	}
 	for _, event := range e.scenario.Events {
-		e.after(event.At, func() { event.Apply(e) })
+		e.scheduler.After(event.At, func() { event.Apply(e) })
 	}
-	e.after(e.scenario.StartupWindow, e.arrive)
-	e.after(e.scenario.Duration, func() { e.arrivalsClosed = true })
+	e.scheduler.After(e.scenario.StartupWindow, e.arrive)
+	e.scheduler.After(e.scenario.Duration, func() { e.arrivalsClosed = true })
 }
 
 // Elapsed returns the virtual time since the start of the run.
-func (e *Emulation) Elapsed() time.Duration { return e.now - startTime }
+func (e *Emulation) Elapsed() time.Duration { return e.scheduler.Now() - startTime }
 
 // counts returns the counts of the current second.
 func (e *Emulation) counts() *Counts {
--- a/internal/emulator/exclusion.go
+++ b/internal/emulator/exclusion.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if before[string(id)] {
-			x.readmit(id, used[id], in.emulation.now)
+			x.readmit(id, used[id], in.emulation.scheduler.Now())
 		} else {
 			x.exclude(endpoint)
 			delete(zones.failures[in.index], id)
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -34,7 +34,7 @@
 
 // startBackend adds a backend that starts at the current time.
 func (e *Emulation) startBackend(id string, index int) *backend {
-	started := e.newBackend(id, index, e.now)
+	started := e.newBackend(id, index, e.scheduler.Now())
 	e.backends = append(e.backends, started)
 	e.discovery.change(started, policy.Ready)
 	return started
@@ -46,7 +46,7 @@
 		if b.index == index && !b.stopped && !b.draining {
 			b.draining = true
 			e.discovery.change(b, policy.Draining)
-			e.after(grace, func() { e.StopBackend(b.id) })
+			e.scheduler.After(grace, func() { e.StopBackend(b.id) })
 			e.startBackend(b.id+"r", index)
 			return
 		}
@@ -115,7 +115,7 @@
 func (e *Emulation) RestartBackends(fraction float64) {
 	for _, b := range e.backends {
 		if !b.stopped && InFraction(b.index, fraction) {
-			b.started = e.now
+			b.started = e.scheduler.Now()
 			e.discovery.change(b, policy.Ready)
 		}
 	}
@@ -130,6 +130,6 @@
 		if err := in.kill(); err != nil {
 			panic(err) // impossible: New has accepted the same configuration
 		}
-		e.after(downtime, in.start)
+		e.scheduler.After(downtime, in.start)
 	}
 }
--- a/internal/emulator/healthcheck.go
+++ b/internal/emulator/healthcheck.go
@@ -30,7 +30,7 @@
 			check.finish(policy.StatusConnectFailed, nil)
 			return
 		}
-		in.emulation.after(in.delayTo(check.backend), check.arrive)
+		in.emulation.scheduler.After(in.delayTo(check.backend), check.arrive)
 	})
 }
 
@@ -38,14 +38,14 @@
 func (c *healthCheck) arrive() {
 	in := c.instance
 	if c.backend.unreachable() {
-		in.emulation.after(healthCheckTimeout, func() {
+		in.emulation.scheduler.After(healthCheckTimeout, func() {
 			c.backend.connections--
 			c.finish(policy.StatusTimeout, nil)
 		})
 		return
 	}
 	queue := c.backend.reportedQueueLength(in.emulation)
-	in.emulation.after(in.delayTo(c.backend), func() {
+	in.emulation.scheduler.After(in.delayTo(c.backend), func() {
 		in.idleConnections[c.backend]++
 		c.finish(policy.StatusOK, &policy.LoadReport{Queue: queue, InFlight: -1, Latency: -1, ErrorRate: -1})
 	})
--- a/internal/emulator/instance.go
+++ b/internal/emulator/instance.go
@@ -149,11 +149,11 @@
 		return
 	}
 	if in.handling {
-		in.deferred = append(in.deferred, func() { event(in.emulation.now) })
+		in.deferred = append(in.deferred, func() { event(in.emulation.scheduler.Now()) })
 		return
 	}
 	in.handling = true
-	event(in.emulation.now)
+	event(in.emulation.scheduler.Now())
 	for len(in.deferred) > 0 {
 		next := in.deferred
 		in.deferred = nil
@@ -195,14 +195,14 @@
 func (in *instance) receive(client *clientRequest, timeout time.Duration) {
 	e := in.emulation
 	if !in.up {
-		e.after(e.scenario.SameZoneDelay, func() { client.handleAnswer(e, answerNone, 0) })
+		e.scheduler.After(e.scenario.SameZoneDelay, func() { client.handleAnswer(e, answerNone, 0) })
 		return
 	}
 	in.lastRequest++
-	r := &request{client: client, instance: in, id: in.lastRequest, class: client.class.Class, expires: e.now + timeout}
+	r := &request{client: client, instance: in, id: in.lastRequest, class: client.class.Class, expires: e.scheduler.Now() + timeout}
 	in.requests[r.id] = r
 	e.observer.requestReceived(r)
-	e.after(timeout, func() {
+	e.scheduler.After(timeout, func() {
 		if !r.clientDone {
 			r.clientDone = true
 			client.handleAnswer(e, answerNone, 0)
--- a/internal/emulator/observer.go
+++ b/internal/emulator/observer.go
@@ -79,7 +79,7 @@
 		if endpoint.State == policy.Ready {
 			delete(since, endpoint.ID)
 		} else if _, known := since[endpoint.ID]; !known {
-			since[endpoint.ID] = o.emulation.now
+			since[endpoint.ID] = o.emulation.scheduler.Now()
 		}
 	}
 	if kind != policy.UpdateFull {
@@ -87,7 +87,7 @@
 	}
 	for id := range in.backends {
 		if _, known := since[id]; !known && !listed[id] {
-			since[id] = o.emulation.now
+			since[id] = o.emulation.scheduler.Now()
 		}
 	}
 }
@@ -150,7 +150,7 @@
 
 // clientTimedOut checks that a request is answered within answerGrace after its deadline.
 func (o *observer) clientTimedOut(r *request) {
-	o.emulation.after(answerGrace, func() {
+	o.emulation.scheduler.After(answerGrace, func() {
 		if record := o.requests[r]; record != nil && record.answers == 0 {
 			o.violation(ruleOneAnswer, "instance %d did not answer a request within its deadline", r.instance.index)
 		}
@@ -161,7 +161,7 @@
 func (o *observer) finish() {
 	unanswered := 0
 	for r, record := range o.requests {
-		if record.answers == 0 && o.emulation.now > r.expires+answerGrace {
+		if record.answers == 0 && o.emulation.scheduler.Now() > r.expires+answerGrace {
 			unanswered++
 		}
 	}
@@ -188,7 +188,7 @@
 
 // checkStartsBeforeDeadline checks that no attempt starts at or after the request's deadline.
 func (o *observer) checkStartsBeforeDeadline(a *attempt) {
-	if o.emulation.now >= a.request.expires {
+	if o.emulation.scheduler.Now() >= a.request.expires {
 		o.violation(ruleOneAnswer, "instance %d started an attempt at or after the deadline of the request", a.request.instance.index)
 	}
 }
@@ -202,8 +202,8 @@
 
 // checkAnsweredInTime checks that a request is answered no later than answerGrace after its deadline.
 func (o *observer) checkAnsweredInTime(r *request) {
-	if o.emulation.now > r.expires+answerGrace {
-		o.violation(ruleOneAnswer, "answer %v after the deadline (instance %d)", o.emulation.now-r.expires, r.instance.index)
+	if o.emulation.scheduler.Now() > r.expires+answerGrace {
+		o.violation(ruleOneAnswer, "answer %v after the deadline (instance %d)", o.emulation.scheduler.Now()-r.expires, r.instance.index)
 	}
 }
 
@@ -221,8 +221,8 @@
 		o.violation(ruleNoRepeat, "class %s: a request that may have been executed was sent again", class.Name)
 	case class.Idempotency == policy.IdempotentByKey && !sameDedupScope(class.DedupScope, a.backend, earlier.backend):
 		o.violation(ruleNoRepeat, "class %s: a request that may have been executed was sent to another dedup group", class.Name)
-	case class.Idempotency == policy.IdempotentByKey && o.emulation.now > earlier.sentAt+class.DedupWindow:
-		o.violation(ruleNoRepeat, "class %s: a request was sent again %v after an attempt that may have been executed, beyond the dedup window", class.Name, o.emulation.now-earlier.sentAt)
+	case class.Idempotency == policy.IdempotentByKey && o.emulation.scheduler.Now() > earlier.sentAt+class.DedupWindow:
+		o.violation(ruleNoRepeat, "class %s: a request was sent again %v after an attempt that may have been executed, beyond the dedup window", class.Name, o.emulation.scheduler.Now()-earlier.sentAt)
 	}
 }
 
@@ -249,7 +249,7 @@
 		case !droppedEverywhere:
 			o.violation(ruleNoRepeat, "class %s: a request that may have been executed was rejected", r.class.Name)
 			return
-		case o.emulation.now > earlier.sentAt+r.class.DedupWindow:
+		case o.emulation.scheduler.Now() > earlier.sentAt+r.class.DedupWindow:
 			o.violation(ruleNoRepeat, "class %s: a request that may have been executed was rejected beyond the dedup window", r.class.Name)
 			return
 		}
@@ -269,8 +269,8 @@
 // or removed.
 func (o *observer) checkEndpointAccepts(a *attempt, endpoint policy.EndpointID) {
 	since, known := o.notAccepting[a.request.instance][endpoint]
-	if known && o.emulation.now > since+drainGrace {
-		o.violation(ruleDraining, "endpoint %s received an attempt %v after the instance was notified that it is draining or removed", endpoint, o.emulation.now-since)
+	if known && o.emulation.scheduler.Now() > since+drainGrace {
+		o.violation(ruleDraining, "endpoint %s received an attempt %v after the instance was notified that it is draining or removed", endpoint, o.emulation.scheduler.Now()-since)
 	}
 }
 
--- a/internal/emulator/observer_test.go
+++ b/internal/emulator/observer_test.go
@@ -22,7 +22,7 @@
 		instance: o.instance,
 		id:       o.instance.lastRequest,
 		class:    class,
-		expires:  o.now + time.Second,
+		expires:  o.scheduler.Now() + time.Second,
 	}
 	o.instance.requests[r.id] = r
 	o.observer.requestReceived(r)
@@ -32,7 +32,7 @@
 // send makes the instance send a request to the backend at an index.
 func (o *observed) send(r *request, index int) *attempt {
 	target := o.backends[index]
-	a := &attempt{request: r, backend: target, sentAt: o.now}
+	a := &attempt{request: r, backend: target, sentAt: o.scheduler.Now()}
 	o.observer.attemptStarted(a, policy.EndpointID(target.id))
 	r.attempts = append(r.attempts, a)
 	return a
@@ -61,7 +61,7 @@
 		}, "rule 1: instance 0 started an attempt of a request that was already answered"},
 		"attempt after the deadline": {func(o *observed) {
 			r := o.receive(safe)
-			o.now += time.Second
+			o.scheduler.AdvanceTo(o.scheduler.Now() + time.Second)
 			o.send(r, 0)
 		}, "rule 1: instance 0 started an attempt at or after the deadline of the request"},
 		"attempt of an unknown request": {func(o *observed) {
@@ -72,12 +72,12 @@
 		}, "rule 1: instance 0 answered a request that it does not have"},
 		"answered too late": {func(o *observed) {
 			r := o.receive(safe)
-			o.now += 1100 * ms
+			o.scheduler.AdvanceTo(o.scheduler.Now() + 1100*ms)
 			o.observer.requestAnswered(r, answerFailed)
 		}, "rule 1: answer 100ms after the deadline"},
 		"not answered by the end": {func(o *observed) {
 			o.receive(safe)
-			o.now += 1100 * ms
+			o.scheduler.AdvanceTo(o.scheduler.Now() + 1100*ms)
 			o.observer.finish()
 		}, "rule 1: 1 requests were not answered by the end of the run"},
 		"repeat of a request that is not idempotent": {func(o *observed) {
@@ -98,7 +98,7 @@
 		"repeat after the dedup window": {func(o *observed) {
 			r := o.receive(keyed)
 			o.send(r, 0)
-			o.now += 150 * ms
+			o.scheduler.AdvanceTo(o.scheduler.Now() + 150*ms)
 			o.send(r, 1)
 		}, "rule 2: class keyed: a request was sent again 150ms after an attempt that may have been executed"},
 		"rejected though possibly executed": {func(o *observed) {
@@ -109,7 +109,7 @@
 		"rejected after the dedup window": {func(o *observed) {
 			r := o.receive(keyed)
 			o.send(r, 0)
-			o.now += 150 * ms
+			o.scheduler.AdvanceTo(o.scheduler.Now() + 150*ms)
 			o.observer.requestAnswered(r, answerRejected)
 		}, "rule 2: class keyed: a request that may have been executed was rejected beyond the dedup window"},
 		"reported as not executed": {func(o *observed) {
@@ -119,7 +119,7 @@
 		}, "rule 2: emulator fault: an executed attempt was reported as not executed"},
 		"attempt at a draining endpoint": {func(o *observed) {
 			o.observer.endpointsUpdated(o.instance, policy.UpdateDelta, []policy.Endpoint{{ID: "s005", State: policy.Draining}})
-			o.now += 2100 * ms
+			o.scheduler.AdvanceTo(o.scheduler.Now() + 2100*ms)
 			o.send(o.receive(safe), 5)
 		}, "rule 3: endpoint s005 received an attempt 2.1s after the instance was notified that it is draining or removed"},
 		"backend collapsed": {func(o *observed) {
--- a/internal/emulator/sharing.go
+++ b/internal/emulator/sharing.go
@@ -36,7 +36,7 @@
 		return
 	}
 	in.lastHint[endpoint] = now
-	e.after(e.scenario.Sharing.Delay, func() {
+	e.scheduler.After(e.scenario.Sharing.Delay, func() {
 		if e.addFailureReport(endpoint, in) >= max(1, e.scenario.Sharing.Quorum) {
 			in.hintOthers(endpoint)
 		}
@@ -48,7 +48,7 @@
 func (in *instance) hintOthers(endpoint policy.EndpointID) {
 	e := in.emulation
 	for repeat := range hintRepeats {
-		e.after(time.Duration(repeat)*hintInterval/hintRepeats, func() {
+		e.scheduler.After(time.Duration(repeat)*hintInterval/hintRepeats, func() {
 			for _, other := range e.instances {
 				if other != in {
 					other.handle(func(now policy.Time) { other.balancer.HandleUnreachableHint(now, endpoint) })
@@ -69,14 +69,14 @@
 func (e *Emulation) addFailureReport(endpoint policy.EndpointID, in *instance) int {
 	recent := e.failureReporters[endpoint][:0]
 	for _, reporter := range e.failureReporters[endpoint] {
-		if reporter.instance != in && reporter.at > e.now-hintInterval {
+		if reporter.instance != in && reporter.at > e.scheduler.Now()-hintInterval {
 			recent = append(recent, reporter)
 		}
 	}
 	if e.failureReporters == nil {
 		e.failureReporters = map[policy.EndpointID][]failureReporter{}
 	}
-	e.failureReporters[endpoint] = append(recent, failureReporter{in, e.now})
+	e.failureReporters[endpoint] = append(recent, failureReporter{in, e.scheduler.Now()})
 	return len(e.failureReporters[endpoint])
 }
 
@@ -87,7 +87,7 @@
 	if !e.scenario.Sharing.LoadReports || status != policy.StatusOK {
 		return
 	}
-	e.after(e.scenario.Sharing.Delay, func() {
+	e.scheduler.After(e.scenario.Sharing.Delay, func() {
 		for _, other := range e.instances {
 			if other == in || other.backends[endpoint] == nil || other.backends[endpoint].zone != other.zone {
 				continue
@@ -111,12 +111,12 @@
 		if from == in || !from.up {
 			continue
 		}
-		learned := from.balancer.ExportLearnedState(e.now)
+		learned := from.balancer.ExportLearnedState(e.scheduler.Now())
 		for id, endpoint := range learned.Endpoints {
 			endpoint.EjectedFor, endpoint.ConsecutiveFailures = 0, 0
 			learned.Endpoints[id] = endpoint
 		}
-		e.after(e.scenario.Sharing.Delay, func() {
+		e.scheduler.After(e.scenario.Sharing.Delay, func() {
 			in.handle(func(now policy.Time) { in.balancer.ImportLearnedState(now, learned) })
 		})
 		return
--- a/internal/emulator/subset_test.go
+++ b/internal/emulator/subset_test.go
@@ -36,10 +36,7 @@
 	q := &clientRequest{class: &scenario.Classes[0], instance: in, work: time.Microsecond}
 	for range 60 {
 		in.receive(q, time.Second)
-		for len(e.queue) > 0 && e.queue[0].at <= e.now+100*ms {
-			e.step()
-		}
-		e.now += 100 * ms
+		e.scheduler.RunUntil(e.scheduler.Now() + 100*ms)
 	}
 	var all []int
 	for i, s := range e.backends {
--- a/internal/emulator/warming.go
+++ b/internal/emulator/warming.go
@@ -28,8 +28,8 @@
 	if e.scenario.CollapseFactor <= 0 || b.capacityFraction(e) == 1 {
 		return
 	}
-	b.warmingWork = append(b.warmingWork, arrival{e.now, work, senderNotified})
-	b.warmingWork = slices.DeleteFunc(b.warmingWork, func(a arrival) bool { return a.at <= e.now-e.scenario.CollapseWindow })
+	b.warmingWork = append(b.warmingWork, arrival{e.scheduler.Now(), work, senderNotified})
+	b.warmingWork = slices.DeleteFunc(b.warmingWork, func(a arrival) bool { return a.at <= e.scheduler.Now()-e.scenario.CollapseWindow })
 	load := b.warmingLoad()
 	limit := e.scenario.CollapseFactor * b.capacity(e) * e.scenario.CollapseWindow.Seconds()
 	b.collapseAbove(e, load, limit)
--- a/internal/emulator/zonefailover.go
+++ b/internal/emulator/zonefailover.go
@@ -38,7 +38,7 @@
 		states:     map[string]zonefailover.State{},
 		revisions:  map[string]uint64{},
 	}
-	e.after(e.scenario.StartupWindow+decisionInterval, c.decide)
+	e.scheduler.After(e.scenario.StartupWindow+decisionInterval, c.decide)
 	return c
 }
 
@@ -55,7 +55,7 @@
 			failures = map[policy.EndpointID]policy.Time{}
 			c.failures[in.index] = failures
 		}
-		failures[endpoint] = c.emulation.now
+		failures[endpoint] = c.emulation.scheduler.Now()
 	case status == policy.StatusOK:
 		delete(failures, endpoint)
 	}
@@ -64,15 +64,15 @@
 // decide makes at most one decision and applies it to all instances. It schedules its next call.
 func (c *zoneController) decide() {
 	e := c.emulation
-	e.after(decisionInterval, c.decide)
-	change, _ := c.controller.Next(e.now, c.snapshot())
+	e.scheduler.After(decisionInterval, c.decide)
+	change, _ := c.controller.Next(e.scheduler.Now(), c.snapshot())
 	if change == nil {
 		return
 	}
 	c.revision++
 	c.states[change.Zone], c.revisions[change.Zone] = change.State, c.revision
 	e.Result.ZoneDecisions = append(e.Result.ZoneDecisions, ZoneDecision{e.Elapsed(), change.Zone, change.State.Step, change.State.Reason})
-	e.after(e.scenario.Sharing.Delay, func() {
+	e.scheduler.After(e.scenario.Sharing.Delay, func() {
 		for _, in := range e.instances {
 			in.applyExclusions()
 		}
@@ -110,7 +110,7 @@
 func (c *zoneController) unreachableReports(in *instance) []zonefailover.UnreachableReport {
 	var reports []zonefailover.UnreachableReport
 	for endpoint, at := range c.failures[in.index] {
-		switch age := c.emulation.now - at; {
+		switch age := c.emulation.scheduler.Now() - at; {
 		case age > failureExpiry:
 			delete(c.failures[in.index], endpoint)
 		case age >= c.emulation.scenario.Sharing.Delay:
--- a/internal/gossip/antientropy_test.go
+++ b/internal/gossip/antientropy_test.go
@@ -28,10 +28,10 @@
 	for _, name := range names {
 		before[name] = w.nodes[name].Stats.CatchUpBytes
 	}
-	from := w.now
+	from := w.Now()
 	took := w.until("all have caught up", 3*time.Minute, func() bool {
 		for _, name := range names {
-			if _, ok := w.nodes[name].InSync(w.now); !ok {
+			if _, ok := w.nodes[name].InSync(w.Now()); !ok {
 				return false
 			}
 		}
@@ -40,8 +40,8 @@
 	rejected := 0
 	for name, n := range w.nodes {
 		rejected += n.Stats.CatchUpRejected
-		if sent := float64(n.Stats.CatchUpBytes - before[name]); sent > budget*((w.now-from).Seconds()+1)+maxSyncReplyBytes {
-			t.Errorf("%s sent %.0f bytes of entries within %v, want no more than its catch-up budget plus one reply", name, sent, w.now-from)
+		if sent := float64(n.Stats.CatchUpBytes - before[name]); sent > budget*((w.Now()-from).Seconds()+1)+maxSyncReplyBytes {
+			t.Errorf("%s sent %.0f bytes of entries within %v, want no more than its catch-up budget plus one reply", name, sent, w.Now()-from)
 		}
 	}
 	if rejected == 0 {
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -90,7 +90,7 @@
 	w.nodes["a"].Delete("dead/x")
 	w.run(8 * time.Second)
 	w.nodes["e"] = paused
-	w.send("e", paused.Tick(w.now))
+	w.send("e", paused.Tick(w.Now()))
 	w.scheduleTick("e", paused)
 	w.until("the paused member is alive to all, and all replicas are equal", 20*time.Second, func() bool {
 		for name, n := range w.nodes {
@@ -112,7 +112,7 @@
 	w := newNetwork(t, 10)
 	w.nodes["f"].Put("dead/x", []byte("1"))
 	w.until("all have the entries", 5*time.Second, w.equal)
-	out := w.nodes["f"].Leave(w.now)
+	out := w.nodes["f"].Leave(w.Now())
 	delete(w.nodes, "f")
 	w.send("f", out)
 	w.until("all members know that f has left", 2*time.Second, func() bool {
@@ -136,7 +136,7 @@
 	if c := w.nodes["a"].store.Counts; c.Unknown < before.Unknown+3 || len(w.nodes["a"].store.all()) > 0 {
 		t.Errorf("counts are %+v, want at least 3 more unknown; entries are %v, want none", c, w.nodes["a"].store.all())
 	}
-	if out := w.nodes["a"].Receive(w.now, "stranger", stranger); len(out) > 0 {
+	if out := w.nodes["a"].Receive(w.Now(), "stranger", stranger); len(out) > 0 {
 		t.Error("a process that is not a member receives a reply")
 	}
 }
@@ -154,7 +154,7 @@
 	if !w.holds("a", "a", "dead/x") || w.holds("a", "a", "dead/y") || !w.holds("a", ConsensusOwner, "order/endpoint") {
 		t.Error("the member has not kept its entries and the decision")
 	}
-	if out := n.Leave(w.now); len(out)+len(w.bytes) > 0 {
+	if out := n.Leave(w.Now()); len(out)+len(w.bytes) > 0 {
 		t.Errorf("the member sends %v at its departure, and earlier to %v: want nothing", out, w.bytes)
 	}
 }
--- a/internal/gossip/network_test.go
+++ b/internal/gossip/network_test.go
@@ -1,11 +1,12 @@
 package gossip
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
+
+	"sorrelrudder/internal/virtualtime"
 )
 
 const ms = time.Millisecond
@@ -32,10 +33,8 @@
 
 // network delivers messages between nodes in virtual time.
 type network struct {
+	virtualtime.Scheduler
 	t     *testing.T
-	now   time.Duration
-	queue eventQueue
-	seq   int
 	rng   *rand.Rand
 	nodes map[string]*Node // running processes, by name
 	size  int
@@ -50,33 +49,6 @@
 	twinOf string
 }
 
-// event is a callback that is scheduled at a time. seq preserves the order of events at the same time.
-type event struct {
-	at       time.Duration
-	seq      int
-	callback func()
-}
-
-// eventQueue is a heap of events, ordered by time.
-type eventQueue []event
-
-func (p eventQueue) Len() int { return len(p) }
-
-func (p eventQueue) Less(i, j int) bool {
-	return p[i].at < p[j].at || p[i].at == p[j].at && p[i].seq < p[j].seq
-}
-
-func (p eventQueue) Swap(i, j int) { p[i], p[j] = p[j], p[i] }
-
-func (p *eventQueue) Push(x any) { *p = append(*p, x.(event)) }
-
-func (p *eventQueue) Pop() any {
-	last := len(*p) - 1
-	x := (*p)[last]
-	*p = (*p)[:last]
-	return x
-}
-
 // newNetwork starts a fleet and returns when all members consider each other alive.
 func newNetwork(t *testing.T, size int) *network {
 	w := &network{t: t, rng: rand.New(rand.NewPCG(5, 5)), nodes: map[string]*Node{}, size: size, bytes: map[string]int{}, nextTicks: map[*Node]time.Duration{}}
@@ -94,15 +66,9 @@
 	return w
 }
 
-// schedule runs a callback after a delay.
-func (w *network) schedule(delay time.Duration, callback func()) {
-	w.seq++
-	heap.Push(&w.queue, event{w.now + delay, w.seq, callback})
-}
-
 // start starts a process with an empty store. It replaces a running process with the same name.
 func (w *network) start(name string) *Node {
-	n := New(w.now, config(name, w.size, w.rng.Uint64()))
+	n := New(w.Now(), config(name, w.size, w.rng.Uint64()))
 	w.nodes[name] = n
 	w.scheduleTick(name, n)
 	return n
@@ -115,10 +81,10 @@
 		return
 	}
 	w.nextTicks[n] = next
-	w.schedule(max(ms, next-w.now), func() {
+	w.After(max(ms, next-w.Now()), func() {
 		if w.nodes[name] == n && w.nextTicks[n] == next {
 			delete(w.nextTicks, n)
-			w.send(name, n.Tick(w.now))
+			w.send(name, n.Tick(w.Now()))
 			w.scheduleTick(name, n)
 		}
 	})
@@ -141,13 +107,13 @@
 		}
 		for range deliveries {
 			d := ms + time.Duration(w.rng.Int64N(int64(w.maxDelay+ms)))
-			w.schedule(d, func() {
+			w.After(d, func() {
 				if to := w.nodes[o.To]; to != nil {
-					w.send(o.To, to.Receive(w.now, from, m))
+					w.send(o.To, to.Receive(w.Now(), from, m))
 					w.scheduleTick(o.To, to)
 				}
 				if o.To == w.twinOf {
-					w.send(o.To, w.twin.Receive(w.now, from, m))
+					w.send(o.To, w.twin.Receive(w.Now(), from, m))
 				}
 			})
 		}
@@ -156,26 +122,20 @@
 
 // run runs the events of a period of virtual time.
 func (w *network) run(d time.Duration) {
-	end := w.now + d
-	for len(w.queue) > 0 && w.queue[0].at <= end {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.callback()
-	}
-	w.now = end
+	w.RunUntil(w.Now() + d)
 }
 
 // until runs until a condition is true, and returns the virtual time that this took. It fails the test after the timeout.
 func (w *network) until(condition string, timeout time.Duration, isTrue func() bool) time.Duration {
 	w.t.Helper()
-	startedAt := w.now
+	startedAt := w.Now()
 	for !isTrue() {
-		if w.now > startedAt+timeout {
+		if w.Now() > startedAt+timeout {
 			w.t.Fatalf("condition not true after %v: %s", timeout, condition)
 		}
 		w.run(20 * ms)
 	}
-	return w.now - startedAt
+	return w.Now() - startedAt
 }
 
 // equal reports whether all replicas have equal digests.
--- a/internal/gossip/ownentries_test.go
+++ b/internal/gossip/ownentries_test.go
@@ -57,12 +57,12 @@
 func TestDuplicateName(t *testing.T) {
 	w := newNetwork(t, 5)
 	w.nodes["b"].Put("dead/first", []byte("1"))
-	w.twin, w.twinOf = New(w.now, config("b", 5, 99)), "b"
+	w.twin, w.twinOf = New(w.Now(), config("b", 5, 99)), "b"
 	w.twin.Put("dead/twin", []byte("1"))
 	before := max(w.nodes["b"].Incarnation(), w.twin.Incarnation()) >> incarnationRandomBits
 	both := 0
 	for range 400 { // 20 s
-		w.send("b", w.twin.Tick(w.now))
+		w.send("b", w.twin.Tick(w.Now()))
 		w.run(50 * ms)
 		if w.holds("a", "b", "dead/twin") && w.holds("a", "b", "dead/first") {
 			both++
--- a/internal/gossip/reports_test.go
+++ b/internal/gossip/reports_test.go
@@ -13,7 +13,7 @@
 	a := w.nodes["a"]
 	hints := func() []string {
 		w.run(2 * time.Second)
-		reports.Update(w.now, a, a.store.TakeChanges())
+		reports.Update(w.Now(), a, a.store.TakeChanges())
 		return reports.Hints(a)
 	}
 	w.nodes["b"].Put("dead/pool/endpoint", nil)
@@ -24,7 +24,7 @@
 	if h := hints(); len(h) != 1 {
 		t.Fatalf("hints after two reports: %v, want one", h)
 	}
-	reports.Record(w.now, a, "dead/pool/endpoint", true)
+	reports.Record(w.Now(), a, "dead/pool/endpoint", true)
 	if h := reports.Hints(a); len(h) != 0 {
 		t.Errorf("hints on an endpoint that this process reports itself: %v, want none", h)
 	}
--- a/internal/simulation/call.go
+++ b/internal/simulation/call.go
@@ -124,14 +124,14 @@
 		if calls++; calls > maxOperatorCalls {
 			return
 		}
-		if from.up && s.now >= from.pausedUntil {
+		if from.up && s.Now() >= from.pausedUntil {
 			from.call(request(), func(r consensus.Response) {
 				if done(r) {
 					calls = maxOperatorCalls
 				}
 			})
 		}
-		s.after(operatorInterval, submit)
+		s.After(operatorInterval, submit)
 	}
 	submit()
 }
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -33,7 +33,7 @@
 	}
 	id := commandID{process, request.SessionID, request.Command.Seq}
 	if s.history.firstSubmitted[id] == 0 {
-		s.history.firstSubmitted[id] = s.now
+		s.history.firstSubmitted[id] = s.Now()
 	}
 }
 
@@ -44,7 +44,7 @@
 	}
 	if request.Command == nil {
 		if response.Refusal == "" {
-			s.history.add(Operation{Process: process, Start: start, End: s.now, LastID: response.LastID})
+			s.history.add(Operation{Process: process, Start: start, End: s.Now(), LastID: response.LastID})
 		}
 		return
 	}
@@ -54,7 +54,7 @@
 	if first, submitted := s.history.firstSubmitted[commandID{process, request.SessionID, request.Command.Seq}]; submitted {
 		start = first
 	}
-	s.history.add(Operation{Process: process, Start: start, End: s.now, Token: response.Result.Token})
+	s.history.add(Operation{Process: process, Start: start, End: s.Now(), Token: response.Result.Token})
 }
 
 func (h *history) add(o Operation) { h.operations = append(h.operations, o) }
--- a/internal/simulation/inject.go
+++ b/internal/simulation/inject.go
@@ -29,7 +29,7 @@
 
 // inject starts a fault. It ignores faults from healedAt on.
 func (s *simulation) inject(f Fault) {
-	if s.now >= healedAt {
+	if s.Now() >= healedAt {
 		return
 	}
 	s.trace("FAULT %s", f)
@@ -39,18 +39,18 @@
 	p := s.processes[f.Target%len(s.processes)]
 	switch f.Kind {
 	case FaultPause:
-		p.pausedUntil = max(p.pausedUntil, s.now+f.Duration)
+		p.pausedUntil = max(p.pausedUntil, s.Now()+f.Duration)
 	case FaultKill, FaultWipe:
 		p.kill()
 		if f.Kind == FaultWipe && p.voter {
 			p.wipe()
 		}
-		s.after(f.Duration, p.start)
+		s.After(f.Duration, p.start)
 	case FaultKillAll:
 		s.killAll(f.Duration)
 	case FaultLeave:
 		p.deliver(p.shutDown)
-		s.after(f.Duration+time.Second, p.start)
+		s.After(f.Duration+time.Second, p.start)
 	case FaultOneWay:
 		s.block(p.index, f.Peer%len(s.processes), f.Duration)
 	case FaultIsolate:
@@ -74,7 +74,7 @@
 func (s *simulation) killAll(duration time.Duration) {
 	for i, p := range s.processes {
 		p.kill()
-		s.after(duration/4+time.Duration(i)*50*time.Millisecond, p.start)
+		s.After(duration/4+time.Duration(i)*50*time.Millisecond, p.start)
 	}
 }
 
@@ -100,7 +100,7 @@
 // activateFor increments a count of active faults for a duration.
 func (s *simulation) activateFor(active *int, duration time.Duration) {
 	*active++
-	s.after(duration, func() { *active-- })
+	s.After(duration, func() { *active-- })
 }
 
 // revoke submits an operator's command that revokes a lease.
@@ -124,7 +124,7 @@
 	clear(s.blockedLinks)
 	clear(s.failNextSync)
 	for _, p := range s.processes {
-		p.pausedUntil = min(p.pausedUntil, s.now)
+		p.pausedUntil = min(p.pausedUntil, s.Now())
 		p.start()
 	}
 	for _, f := range s.faults { // the earlier attempts may have had no response
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -24,7 +24,7 @@
 		copies = 2
 	}
 	for range copies {
-		s.after(s.drawDelay(), func() {
+		s.After(s.drawDelay(), func() {
 			if s.blockedLinks[link{from.index, to.index}] == 0 {
 				to.deliver(receive)
 			}
@@ -36,7 +36,7 @@
 func (s *simulation) dropsMessage(from, to *process) bool {
 	return s.blockedLinks[link{from.index, to.index}] > 0 ||
 		s.lossFaults > 0 && s.networkRandom.IntN(100) < 30 ||
-		s.networkRandom.IntN(1000) < 2 && s.now < randomLossUntil
+		s.networkRandom.IntN(1000) < 2 && s.Now() < randomLossUntil
 }
 
 // drawDelay draws the transmission delay of a message.
@@ -58,7 +58,7 @@
 	}
 	l := link{from, to}
 	s.blockedLinks[l]++
-	s.after(duration, func() {
+	s.After(duration, func() {
 		if s.blockedLinks[l] > 0 {
 			s.blockedLinks[l]--
 		}
--- a/internal/simulation/observer.go
+++ b/internal/simulation/observer.go
@@ -73,11 +73,11 @@
 		if holders > l.limit {
 			s.reportViolation("two holders: %d hold %q, of which %d may", holders, l.name, l.limit)
 		}
-		if holders == 0 && s.now > o.checkedAt {
-			s.counts["unheld_s"] += (s.now - o.checkedAt).Seconds() / 3
+		if holders == 0 && s.Now() > o.checkedAt {
+			s.counts["unheld_s"] += (s.Now() - o.checkedAt).Seconds() / 3
 		}
 	}
-	o.checkedAt = s.now
+	o.checkedAt = s.Now()
 }
 
 // readClocks stores the current time of each process's clock in clocks.
@@ -143,7 +143,7 @@
 
 // slotSent records that the request for a slot was sent.
 func (o *observer) slotSent() {
-	o.lastSlotSent = o.simulation.now
+	o.lastSlotSent = o.simulation.Now()
 	o.simulation.counts["slots_sent"]++
 }
 
@@ -152,13 +152,13 @@
 func (o *observer) slotReceived(slot task.SlotRequest) {
 	s := o.simulation
 	if s.task.Idempotency == task.IdempotentByKey {
-		if first, received := o.dedupKeys[slot.Key]; received && s.now < first+s.task.DedupWindow {
+		if first, received := o.dedupKeys[slot.Key]; received && s.Now() < first+s.task.DedupWindow {
 			return
 		}
-		o.dedupKeys[slot.Key] = s.now
+		o.dedupKeys[slot.Key] = s.Now()
 	}
 	s.trace("slot %d is done", slot.Slot)
-	o.executions[slot.Slot] = append(o.executions[slot.Slot], s.now)
+	o.executions[slot.Slot] = append(o.executions[slot.Slot], s.Now())
 	s.counts["slots_done"]++
 	if n := len(o.executions[slot.Slot]); n > 1 && s.task.Idempotency != task.Idempotent {
 		s.reportViolation("slot %d was done %d times", slot.Slot, n)
@@ -167,7 +167,7 @@
 
 // checkSlotsSent checks at the end of a run that slots are still being sent.
 func (o *observer) checkSlotsSent() {
-	if idle := o.simulation.now - o.lastSlotSent; idle > maxSlotGap {
+	if idle := o.simulation.Now() - o.lastSlotSent; idle > maxSlotGap {
 		o.simulation.reportViolation("no slot was sent in the last %v, and one is due every %v", idle, o.simulation.task.Interval)
 	}
 }
--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -66,7 +66,7 @@
 
 // clock returns the time of the process's monotonic clock.
 func (p *process) clock() time.Duration {
-	return p.clockOffset + time.Duration(float64(p.simulation.now)*p.clockRate)
+	return p.clockOffset + time.Duration(float64(p.simulation.Now())*p.clockRate)
 }
 
 // virtualDuration returns the virtual time in which the process's monotonic clock advances by d.
@@ -77,7 +77,7 @@
 // wallClock returns the time of the process's wall clock.
 func (p *process) wallClock() time.Time {
 	offset := time.Duration(p.index*83%maxWallClockOffset) * time.Millisecond
-	return time.Unix(1_800_000_000, 0).Add(p.simulation.now + offset)
+	return time.Unix(1_800_000_000, 0).Add(p.simulation.Now() + offset)
 }
 
 // start starts the process unless it is already running.
@@ -154,8 +154,8 @@
 		if !p.up || p.startCount != start {
 			return
 		}
-		if now := p.simulation.now; now < p.pausedUntil {
-			p.simulation.after(p.pausedUntil-now, attempt)
+		if now := p.simulation.Now(); now < p.pausedUntil {
+			p.simulation.After(p.pausedUntil-now, attempt)
 			return
 		}
 		run()
@@ -166,7 +166,7 @@
 // schedule calls run in the process after a delay, as deliver does. The call is dropped if the process ends or restarts before.
 func (p *process) schedule(delay time.Duration, run func()) {
 	start := p.startCount
-	p.simulation.after(delay, func() {
+	p.simulation.After(delay, func() {
 		if p.startCount == start {
 			p.deliver(run)
 		}
--- a/internal/simulation/scale.go
+++ b/internal/simulation/scale.go
@@ -73,19 +73,19 @@
 
 // measureConvergence runs the fleet until all processes see each other and hold the same entries, until maxConvergence at most.
 func (f *scaleFleet) measureConvergence(r *ScaleResult) {
-	f.run(f.now+f.options.StartupWindow, nil)
+	f.run(f.Now()+f.options.StartupWindow, nil)
 	f.run(maxConvergence, func() bool { return f.allAlive() && f.converged() })
-	r.ConvergedSeconds = f.now.Seconds()
+	r.ConvergedSeconds = f.Now().Seconds()
 }
 
 // measureRest measures the gossip traffic of an idle fleet.
 func (f *scaleFleet) measureRest(r *ScaleResult) {
-	f.run(f.now+settleDuration, nil)
-	start, framesBefore := f.now, f.frames
+	f.run(f.Now()+settleDuration, nil)
+	start, framesBefore := f.Now(), f.frames
 	sent := -f.bytesSent()
-	f.run(f.now+f.options.RestDuration, nil)
+	f.run(f.Now()+f.options.RestDuration, nil)
 	sent += f.bytesSent()
-	processSeconds := (f.now - start).Seconds() * float64(f.options.Size)
+	processSeconds := (f.Now() - start).Seconds() * float64(f.options.Size)
 	r.BytesPerSecond, r.FramesPerSecond = sent/processSeconds, (f.frames-framesBefore)/processSeconds
 }
 
@@ -96,7 +96,7 @@
 	for _, p := range f.processes {
 		before[p.name] = p.node.Stats
 	}
-	start, sent := f.now, -f.bytesSent()
+	start, sent := f.Now(), -f.bytesSent()
 	var seconds []float64
 	for i := range f.options.WriteCount {
 		duration, complete := f.write(fmt.Sprintf("%s/w%d", entryKind, i))
@@ -110,7 +110,7 @@
 		slices.Sort(seconds)
 		r.WriteP50Seconds = seconds[len(seconds)/2]
 		r.WriteP99Seconds = seconds[min(len(seconds)-1, len(seconds)*99/100)]
-		r.BusyBytesPerSecond = sent / (f.now - start).Seconds() / float64(f.options.Size)
+		r.BusyBytesPerSecond = sent / (f.Now() - start).Seconds() / float64(f.options.Size)
 	}
 	for _, p := range f.processes {
 		r.Suspicions += p.node.Stats.Suspicions - before[p.name].Suspicions
@@ -124,16 +124,16 @@
 	writer := f.processes[f.rng.IntN(len(f.processes))]
 	writer.node.Put(key, []byte("x"))
 	f.scheduleTick(writer)
-	start := f.now
+	start := f.Now()
 	waiting := slices.Clone(f.processes)
-	complete = f.run(f.now+maxWriteDuration, func() bool {
+	complete = f.run(f.Now()+maxWriteDuration, func() bool {
 		waiting = slices.DeleteFunc(waiting, func(p *scaleProcess) bool {
 			_, stored := p.node.Store().Get(writer.name, key)
 			return stored
 		})
 		return len(waiting) == 0
 	})
-	return f.now - start, complete
+	return f.Now() - start, complete
 }
 
 // measureDetection kills processes one after the other, and measures the time until all others have detected each death. It returns the
@@ -148,15 +148,15 @@
 		}
 		victim.up = false
 		killed = append(killed, victim)
-		start := f.now
+		start := f.Now()
 		waiting := slices.Clone(f.processes)
-		f.run(f.now+maxDetection, func() bool {
+		f.run(f.Now()+maxDetection, func() bool {
 			waiting = slices.DeleteFunc(waiting, func(p *scaleProcess) bool {
 				return !p.up || p.node.Member(victim.name).State == gossip.Dead
 			})
 			return len(waiting) == 0
 		})
-		seconds = append(seconds, (f.now - start).Seconds())
+		seconds = append(seconds, (f.Now() - start).Seconds())
 	}
 	if len(seconds) > 0 {
 		slices.Sort(seconds)
@@ -178,16 +178,16 @@
 			restarted = append(restarted, p)
 		}
 	}
-	f.run(f.now+downtime, nil)
-	start := f.now
+	f.run(f.Now()+downtime, nil)
+	start := f.Now()
 	for _, p := range restarted {
 		p.bytesReceived = 0
 		f.start(p)
 	}
 	waiting := slices.Clone(restarted)
-	f.run(f.now+maxCatchUp, func() bool {
+	f.run(f.Now()+maxCatchUp, func() bool {
 		waiting = slices.DeleteFunc(waiting, func(p *scaleProcess) bool {
-			_, inSync := p.node.InSync(f.now)
+			_, inSync := p.node.InSync(f.Now())
 			if inSync {
 				r.CatchUpBytes = max(r.CatchUpBytes, p.bytesReceived)
 			}
@@ -195,5 +195,5 @@
 		})
 		return len(waiting) == 0
 	})
-	r.CatchUpSeconds = (f.now - start).Seconds()
+	r.CatchUpSeconds = (f.Now() - start).Seconds()
 }
--- a/internal/simulation/scalefleet.go
+++ b/internal/simulation/scalefleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sorrelrudder/internal/gossip"
+	"sorrelrudder/internal/virtualtime"
 )
 
 const (
@@ -17,7 +18,7 @@
 
 // scaleFleet is a fleet in virtual time whose processes only share state by gossip.
 type scaleFleet struct {
-	scheduler
+	virtualtime.Scheduler
 	options   ScaleOptions
 	rng       *rand.Rand
 	names     []string
@@ -48,7 +49,7 @@
 		p := &scaleProcess{name: name, slow: f.rng.Float64() < o.SlowFraction}
 		f.processes = append(f.processes, p)
 		f.byName[name] = p
-		f.after(time.Duration(f.rng.Float64()*float64(o.StartupWindow)), func() { f.start(p) })
+		f.After(time.Duration(f.rng.Float64()*float64(o.StartupWindow)), func() { f.start(p) })
 	}
 	return f
 }
@@ -56,17 +57,17 @@
 // run runs all events up to the virtual time until, or stops early when done returns true. It returns the last result of done. done may be
 // nil: then run does not stop early and returns false.
 func (f *scaleFleet) run(until time.Duration, done func() bool) bool {
-	nextCheck := f.now
-	for f.dueBy(until) {
-		f.step()
-		if done != nil && f.now >= nextCheck {
-			nextCheck = f.now + conditionInterval
+	nextCheck := f.Now()
+	for f.DueBy(until) {
+		f.Step()
+		if done != nil && f.Now() >= nextCheck {
+			nextCheck = f.Now() + conditionInterval
 			if done() {
 				return true
 			}
 		}
 	}
-	f.now = until
+	f.AdvanceTo(until)
 	return done != nil && done()
 }
 
@@ -74,7 +75,7 @@
 func (f *scaleFleet) start(p *scaleProcess) {
 	cfg := f.options.Gossip
 	cfg.Name, cfg.Members, cfg.Seed = p.name, f.names, f.rng.Uint64()
-	p.node, p.up = gossip.New(f.now, cfg), true
+	p.node, p.up = gossip.New(f.Now(), cfg), true
 	f.scheduleTick(p)
 	p.node.Put(startupKey, []byte(p.name))
 }
@@ -83,9 +84,9 @@
 func (f *scaleFleet) scheduleTick(p *scaleProcess) {
 	p.latestTick++
 	tick := p.latestTick
-	f.after(max(0, p.node.NextTick()-f.now), func() {
+	f.After(max(0, p.node.NextTick()-f.Now()), func() {
 		if p.up && p.latestTick == tick {
-			f.send(p, p.node.Tick(f.now))
+			f.send(p, p.node.Tick(f.Now()))
 			f.scheduleTick(p)
 		}
 	})
@@ -105,10 +106,10 @@
 		if to.slow && f.rng.IntN(10) == 0 {
 			delay += time.Duration(f.rng.IntN(600)) * time.Millisecond
 		}
-		f.after(delay, func() {
+		f.After(delay, func() {
 			if to.up {
 				to.bytesReceived += size
-				f.send(to, to.node.Receive(f.now, from.name, envelope.Message))
+				f.send(to, to.node.Receive(f.Now(), from.name, envelope.Message))
 				f.scheduleTick(to)
 			}
 		})
--- a/internal/simulation/session.go
+++ b/internal/simulation/session.go
@@ -46,7 +46,7 @@
 func (p *process) scheduleAdvance(d time.Duration) {
 	p.advanceRound++
 	round, start := p.advanceRound, p.startCount
-	p.simulation.after(max(minAdvance, min(p.virtualDuration(d), maxAdvance)), func() {
+	p.simulation.After(max(minAdvance, min(p.virtualDuration(d), maxAdvance)), func() {
 		if p.startCount == start && p.advanceRound == round {
 			p.deliver(p.advance)
 		}
@@ -55,7 +55,7 @@
 
 // submitLeaseRequest sends a request of the lease client to the consensus group, and passes the response back.
 func (p *process) submitLeaseRequest(request lease.Request) {
-	start := p.simulation.now
+	start := p.simulation.Now()
 	p.simulation.recordSubmission(p.index, request)
 	p.call(consensus.Request{Lease: &request}, func(r consensus.Response) {
 		if r.Lease != nil {
@@ -79,7 +79,7 @@
 	if s.processRandom.IntN(20) == 0 {
 		delay = time.Duration(s.processRandom.IntN(3000)) * time.Millisecond
 	}
-	s.after(delay, func() { s.observer.checkAccess(l, p, token, delay > 0) })
+	s.After(delay, func() { s.observer.checkAccess(l, p, token, delay > 0) })
 }
 
 // runTask executes an action that the task's runner has returned.
@@ -137,10 +137,10 @@
 	case draw < 20:
 		p.completeSlot(task.OutcomeRejected, latency)
 	case draw < 30 || latency >= timeout: // the response is lost or late
-		s.after(latency, func() { s.observer.slotReceived(slot) })
+		s.After(latency, func() { s.observer.slotReceived(slot) })
 		p.completeSlot(task.OutcomeUnknown, timeout)
 	default:
-		s.after(latency, func() { s.observer.slotReceived(slot) })
+		s.After(latency, func() { s.observer.slotReceived(slot) })
 		p.completeSlot(task.OutcomeDone, latency+time.Millisecond)
 	}
 }
--- a/internal/simulation/sharedstate.go
+++ b/internal/simulation/sharedstate.go
@@ -111,7 +111,7 @@
 // writesUntil.
 func (p *process) writeSharedState() {
 	s, rng := p.simulation, p.simulation.gossipRandom
-	if s.now > writesUntil {
+	if s.Now() > writesUntil {
 		return
 	}
 	key := fmt.Sprintf("%s/%d", writtenKind, rng.IntN(4))
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -16,6 +16,7 @@
 
 	"sorrelrudder/internal/lease"
 	"sorrelrudder/internal/task"
+	"sorrelrudder/internal/virtualtime"
 )
 
 // Phases of a run, as virtual times since its start.
@@ -91,7 +92,7 @@
 
 // simulation is one run. It is not safe for concurrent use.
 type simulation struct {
-	scheduler
+	virtualtime.Scheduler
 	options Options
 
 	networkRandom *rand.Rand // fates and delays of messages and requests
@@ -164,9 +165,9 @@
 		p.start()
 	}
 	for _, fault := range s.faults {
-		s.after(fault.At, func() { s.inject(fault) })
+		s.After(fault.At, func() { s.inject(fault) })
 	}
-	s.after(healedAt, s.heal)
+	s.After(healedAt, s.heal)
 	return s
 }
 
@@ -187,16 +188,16 @@
 
 // play runs all events until endAt, and then the checks at the end of a run. A violation ends it early.
 func (s *simulation) play() {
-	for played := 0; len(s.queue) > 0 && s.violation == ""; played++ {
+	for played := 0; !s.Idle() && s.violation == ""; played++ {
 		if played > maxEvents {
 			s.reportViolation("the run does not come to its end")
 			return
 		}
-		if !s.dueBy(endAt) {
+		if !s.DueBy(endAt) {
 			s.observer.finish()
 			return
 		}
-		s.step()
+		s.Step()
 		s.observer.checkHolders()
 		s.observer.checkRelapses()
 	}
@@ -220,14 +221,14 @@
 // reportViolation records a violation of an invariant, if it is the first one of the run.
 func (s *simulation) reportViolation(format string, args ...any) {
 	if s.violation == "" {
-		s.violation, s.violatedAt = fmt.Sprintf(format, args...), s.now
+		s.violation, s.violatedAt = fmt.Sprintf(format, args...), s.Now()
 		s.trace("BROKEN %s", s.violation)
 	}
 }
 
 // trace adds a line to the trace and its hash.
 func (s *simulation) trace(format string, args ...any) {
-	line := fmt.Sprintf("%10.6f %s\n", s.now.Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%10.6f %s\n", s.Now().Seconds(), fmt.Sprintf(format, args...))
 	s.traceHash.Write([]byte(line))
 	if s.options.Trace != nil {
 		fmt.Fprint(s.options.Trace, line)
--- a/internal/simulation/voter.go
+++ b/internal/simulation/voter.go
@@ -50,7 +50,7 @@
 	now := p.clock()
 	if p.simulation.options.Bug == BugWallClock { // jumps forward by 2 s every 5 s, at different times in each process
 		stagger := time.Duration(p.index) * 700 * time.Millisecond
-		now += (p.simulation.now + stagger) / (5 * time.Second) * 2 * time.Second
+		now += (p.simulation.Now() + stagger) / (5 * time.Second) * 2 * time.Second
 	}
 	return now
 }
@@ -130,7 +130,7 @@
 		p.simulation.reportViolation("%s: %v", p.name, err)
 	}
 	p.kill()
-	p.simulation.after(restartDelay, p.start)
+	p.simulation.After(restartDelay, p.start)
 }
 
 // stepNode passes a message from another voter to this process's voter.
--- a/internal/simulation/zonemember.go
+++ b/internal/simulation/zonemember.go
@@ -157,7 +157,7 @@
 	}
 	snapshot := zoneview.Snapshot(p.shared.node, s.memberZones(), poolName, s.servers.zones)
 	if s.options.Bug == BugWallClockRamp { // jumps forward by 400 ms every 700 ms
-		now += s.now / (700 * time.Millisecond) * 400 * time.Millisecond
+		now += s.Now() / (700 * time.Millisecond) * 400 * time.Millisecond
 	}
 	s.applySnapshotBug(&snapshot)
 	change, _ := member.controller.Next(now, snapshot)
--- a/internal/simulation/zoneobserver.go
+++ b/internal/simulation/zoneobserver.go
@@ -90,7 +90,7 @@
 func (o *observer) zoneDecided(zone int, decided zonefailover.State, d consensus.Decision, complete bool) {
 	z, s := o.zones, o.simulation
 	change := zoneChange{zone: zone, before: z.states[zone], after: decided, since: z.decidedAt[zone]}
-	z.states[zone], z.decidedAt[zone] = decided, s.now
+	z.states[zone], z.decidedAt[zone] = decided, s.Now()
 	s.counts["zone_decisions"]++
 	s.trace("decided: zone %s %s, number %d, token %d", zoneName(zone), decided.Encode(), d.Number, d.Token)
 	if d.Token == 0 || !complete {
@@ -139,8 +139,8 @@
 	}
 	s := o.simulation
 	last := s.servers.widelyUnreachableAt[c.zone]
-	if s.now > last+reportExpiry && !s.servers.down[c.zone] {
-		s.reportViolation("zone %s is left, and was well to all but one zone for %v", zoneName(c.zone), s.now-last)
+	if s.Now() > last+reportExpiry && !s.servers.down[c.zone] {
+		s.reportViolation("zone %s is left, and was well to all but one zone for %v", zoneName(c.zone), s.Now()-last)
 	}
 }
 
@@ -151,8 +151,8 @@
 		return
 	}
 	since := s.servers.downChangedAt[c.zone]
-	if s.now > since+maxZoneReportDelay || s.now > since+zoneReportDelay && s.onlyZoneFaultsSince(since-leaseTiming.TTL) {
-		s.reportViolation("zone %s is returned to, to step %d, and has been down for %v", zoneName(c.zone), c.after.Step, s.now-since)
+	if s.Now() > since+maxZoneReportDelay || s.Now() > since+zoneReportDelay && s.onlyZoneFaultsSince(since-leaseTiming.TTL) {
+		s.reportViolation("zone %s is returned to, to step %d, and has been down for %v", zoneName(c.zone), c.after.Step, s.Now()-since)
 	}
 }
 
@@ -170,7 +170,7 @@
 	case c.before.Step == 0:
 		least = min(rules.HoldDown<<min(c.before.Relapses, 20), rules.MaxHoldDown)
 	}
-	if passed := s.now - c.since; passed < time.Duration(float64(least)/(1+maxClockDrift)) {
+	if passed := s.Now() - c.since; passed < time.Duration(float64(least)/(1+maxClockDrift)) {
 		s.reportViolation("zone %s goes to step %d, cold: %v, after %v, %v at least", zoneName(c.zone), c.after.Step, c.after.WarmingUp, passed, least)
 	}
 }
@@ -242,9 +242,9 @@
 			continue
 		}
 		downSince := s.servers.downChangedAt[zone]
-		overdue := s.now > downSince+zoneReportDelay && s.now > o.zones.decidedAt[zone]+zoneReportDelay
-		if overdue && s.onlyZoneFaultsSince(s.now-zoneReportDelay-leaseTiming.TTL) {
-			s.reportViolation("zone %s has been down for %v and is still used at step %d", zoneName(zone), s.now-downSince, state.Step)
+		overdue := s.Now() > downSince+zoneReportDelay && s.Now() > o.zones.decidedAt[zone]+zoneReportDelay
+		if overdue && s.onlyZoneFaultsSince(s.Now()-zoneReportDelay-leaseTiming.TTL) {
+			s.reportViolation("zone %s has been down for %v and is still used at step %d", zoneName(zone), s.Now()-downSince, state.Step)
 		}
 	}
 }
@@ -253,7 +253,7 @@
 // fail together.
 func (o *observer) anotherZoneFailedRecently(zone int) bool {
 	for other, last := range o.simulation.servers.widelyUnreachableAt {
-		if other != zone && o.simulation.now <= last+zoneReportDelay+reportExpiry {
+		if other != zone && o.simulation.Now() <= last+zoneReportDelay+reportExpiry {
 			return true
 		}
 	}
@@ -266,7 +266,7 @@
 		switch f.Kind {
 		case FaultZoneDown, FaultZonePartition, FaultBadRelease, FaultZoneShift:
 		default:
-			if f.At <= s.now && f.At+f.Duration+faultEffectDuration > since {
+			if f.At <= s.Now() && f.At+f.Duration+faultEffectDuration > since {
 				return false
 			}
 		}
--- a/internal/simulation/zoneservers.go
+++ b/internal/simulation/zoneservers.go
@@ -138,7 +138,7 @@
 	case FaultZoneShift:
 		zone := f.Target % zoneCount
 		s.submitZoneCommand(zone, zonefailover.State{Manual: true, Reason: "an operator"})
-		s.after(f.Duration, func() { s.submitZoneCommand(zone, zonefailover.State{Reason: "an operator lets go"}) })
+		s.After(f.Duration, func() { s.submitZoneCommand(zone, zonefailover.State{Reason: "an operator lets go"}) })
 	default:
 		return false
 	}
@@ -149,12 +149,12 @@
 // changes.
 func (s *simulation) activateZoneFault(active *int, duration time.Duration) {
 	change := func(by int) {
-		s.servers.record(s.now)
+		s.servers.record(s.Now())
 		*active += by
-		s.servers.record(s.now)
+		s.servers.record(s.Now())
 	}
 	change(1)
-	s.after(duration, func() { change(-1) })
+	s.After(duration, func() { change(-1) })
 }
 
 // submitZoneCommand has an operator submit a state of a zone until the consensus group accepts it. A later command on the same zone stops
